--- a/applewheel/__init__.py
+++ b/sailrun/__init__.py
@@ -1,5 +1,5 @@
 """Decisions of a balancer for long-lived connections: rendezvous hashing with named exceptions."""
 
-from applewheel.decide import Balancer
+from sailrun.decide import Balancer
 
 __all__ = ["Balancer"]
--- a/applewheel/benchlink.py
+++ b/sailrun/benchlink.py
@@ -7,9 +7,9 @@
 from collections.abc import Iterator
 from typing import BinaryIO, TextIO
 
-from applewheel import wire
-from applewheel.decide import Balancer
-from applewheel.interface import Backend
+from sailrun import wire
+from sailrun.decide import Balancer
+from sailrun.interface import Backend
 
 
 class Link:
--- a/applewheel/decide.py
+++ b/sailrun/decide.py
@@ -1,4 +1,4 @@
-"""The decisions of a balancer for long-lived connections. Its interface: applewheel/interface.py.
+"""The decisions of a balancer for long-lived connections. Its interface: sailrun/interface.py.
 
 Rank by score, take the first backend that admits. A score is the product of two 32-bit MurmurHash3
 values, one of the backend id and one of the key, cut to 32 bits; the higher score wins, ties go to
@@ -14,8 +14,8 @@
 
 import mmh3
 
-from applewheel import interface as i
-from applewheel.validate import check_settings
+from sailrun import interface as i
+from sailrun.validate import check_settings
 
 SERVER_SEED = 165233
 KEY_SEED = 845219
--- a/applewheel/interface.py
+++ b/sailrun/interface.py
@@ -1,7 +1,7 @@
 """What goes into and comes out of the decision module: settings, events and actions.
 
 Times are whole microseconds on the relay's own monotonic clock unless a name says otherwise.
-Nothing here decides anything; `applewheel.decide` does.
+Nothing here decides anything; `sailrun.decide` does.
 """
 
 from __future__ import annotations
--- a/applewheel/validate.py
+++ b/sailrun/validate.py
@@ -6,7 +6,7 @@
 from dataclasses import fields
 from enum import Enum
 
-from applewheel.interface import RequestClass, Settings, Tenant
+from sailrun.interface import RequestClass, Settings, Tenant
 
 _POSITIVE = {
     "objective_us",
--- a/applewheel/wire.py
+++ b/sailrun/wire.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
-from applewheel import interface as i
+from sailrun import interface as i
 
 Fields = dict[str, str]
 E = TypeVar("E")
--- a/tests/support.py
+++ b/tests/support.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass, field
 
-from applewheel import interface as i
-from applewheel.decide import Balancer
+from sailrun import interface as i
+from sailrun.decide import Balancer
 
 SECOND = 1_000_000
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from applewheel import decide
-from applewheel import interface as i
+from sailrun import decide
+from sailrun import interface as i
 from tests.support import SECOND, Relay, backend, delta, full, settings
 
 FLEET = tuple(range(1, 21))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -5,9 +5,9 @@
 import mmh3
 import pytest
 
-from applewheel import decide
-from applewheel import interface as i
-from applewheel.decide import KEY_SEED, SERVER_SEED, Balancer, key_hash, server_hash
+from sailrun import decide
+from sailrun import interface as i
+from sailrun.decide import KEY_SEED, SERVER_SEED, Balancer, key_hash, server_hash
 from tests.support import full, settings
 
 
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -16,11 +16,11 @@
     lines = [line for line in text.splitlines() if line.strip()]
     assert len(lines) <= 650
     assert max(map(len, lines)) <= 110
-    assert "applewheel/interface.py" in (ast.get_docstring(ast.parse(text)) or "").splitlines()[0]
+    assert "sailrun/interface.py" in (ast.get_docstring(ast.parse(text)) or "").splitlines()[0]
 
 
 def test_the_module_is_pure() -> None:
-    tree = ast.parse((ROOT / "applewheel" / "decide.py").read_text())
+    tree = ast.parse((ROOT / "sailrun" / "decide.py").read_text())
     imported = set()
     for node in ast.walk(tree):
         if isinstance(node, ast.Import):
@@ -36,8 +36,8 @@
         "math",
         "random",
         "mmh3",
-        "applewheel",
-        "applewheel.validate",
+        "sailrun",
+        "sailrun.validate",
     }
 
 
--- a/tests/test_odd_events.py
+++ b/tests/test_odd_events.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from applewheel import interface as i
+from sailrun import interface as i
 from tests.support import SECOND, Relay, backend, delta, full, settings
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,8 +9,8 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
-from applewheel import interface as i
-from applewheel.decide import MASK, key_hash, server_hash
+from sailrun import interface as i
+from sailrun.decide import MASK, key_hash, server_hash
 from tests.support import SECOND, Relay, backend, delta, full, settings
 
 STEP = st.one_of(
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,9 +11,9 @@
 
 import pytest
 
-from applewheel import benchlink, wire
-from applewheel import interface as i
-from applewheel.decide import Balancer
+from sailrun import benchlink, wire
+from sailrun import interface as i
+from sailrun.decide import Balancer
 
 ROOT = Path(__file__).parent.parent
 PARAMS = (
@@ -226,7 +226,7 @@
 
 def test_the_real_command_answers_alike_under_any_hash_seed_and_spread() -> None:
     command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["sim"]
-    assert command == "exec .venv/bin/python -m applewheel.benchlink"
+    assert command == "exec .venv/bin/python -m sailrun.benchlink"
     replies = []
     for seed in ("1", "2"):
         done = subprocess.run(
