--- a/sailrun/__init__.py
+++ b/sailrun/__init__.py
@@ -2,4 +2,5 @@
 
 from sailrun.decide import Balancer
 
+__version__ = "0.2.0"
 __all__ = ["Balancer"]
--- /dev/null
+++ b/sailrun/config.py
@@ -0,0 +1,121 @@
+"""What a node is told: the platform's JSON. A fault is one line that names the file and the key."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from sailrun import wire
+from sailrun.connection import split_address
+from sailrun.interface import Settings
+from sailrun.node.session import RosterNews
+from sailrun.roster import BadRoster, read_news
+from sailrun.validate import check_settings
+
+Address = tuple[str, int]
+
+
+class BadConfig(ValueError):
+    """Names the file, the key and what is wrong with it."""
+
+    def __init__(self, path: Path, key: str, what: str) -> None:
+        super().__init__(f"{path}: {key}: {what}" if key else f"{path}: {what}")
+
+
+@dataclass(frozen=True, slots=True)
+class NodeConfig:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    peer_listen: Address | None
+    peers: list[Address]
+    peers_all: Address | None
+    known: RosterNews
+    settings: Settings
+    groups: bool  # whether `g` of a first line names a household's group
+
+
+def flatten(value: Any, path: str = "") -> Iterator[tuple[str, str]]:
+    """Nested JSON as the path=value pairs of the simulator's first message, which has the same names."""
+    if isinstance(value, dict):
+        for name, inner in value.items():
+            yield from flatten(inner, f"{path}.{name}" if path else name)
+    elif isinstance(value, list) and any(isinstance(item, dict) for item in value):
+        yield f"{path}.count", str(len(value))
+        for n, item in enumerate(value):
+            yield from flatten(item, f"{path}.{n}")
+    elif isinstance(value, list):
+        yield path, ",".join(_plain(item) for item in value)
+    else:
+        yield path, _plain(value)
+
+
+def _plain(value: Any) -> str:
+    if isinstance(value, str):
+        return value.replace(" ", "_").replace(",", "_")
+    return json.dumps(value)
+
+
+def read_settings(nested: Any) -> Settings:
+    settings = wire.settings(dict(flatten(nested)))
+    check_settings(settings)
+    return settings
+
+
+def read_node_config(path: Path) -> NodeConfig:
+    """Reads the platform's file; keys that it adds for others are left alone."""
+    try:
+        document = json.loads(path.read_text())
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadConfig(path, "", getattr(error, "strerror", None) or str(error)) from None
+    except json.JSONDecodeError as error:
+        raise BadConfig(path, "", f"no JSON: {error}") from None
+    if not isinstance(document, dict):
+        raise BadConfig(path, "", "no object")
+
+    def address(key: str, value: Any) -> Address:
+        try:
+            return split_address(str(value))
+        except ValueError as error:
+            raise BadConfig(path, key, str(error)) from None
+
+    def need(key: str) -> Any:
+        value = os.environ.get({"name": "RELAY_NAME"}.get(key, "")) or document.get(key)
+        if value is None:
+            raise BadConfig(path, key, "is missing")
+        return value
+
+    try:
+        seed = int(str(need("seed")), 16)
+    except ValueError:
+        raise BadConfig(path, "seed", f"'{document['seed']}' is no hex number") from None
+    try:
+        settings = read_settings(need("settings"))
+    except ValueError as error:
+        raise BadConfig(path, "settings", str(error)) from None
+    try:
+        known = read_news(need("known"), cached=True)
+    except BadRoster as error:
+        raise BadConfig(path, "known", str(error)) from None
+    peers = document.get("peers", [])
+    if not isinstance(peers, list):
+        raise BadConfig(path, "peers", "is no list")
+    peer_listen, everyone = document.get("peer_listen"), document.get("peers_all")
+    family = document["settings"].get("familyInfo") or {}
+    return NodeConfig(
+        name=str(need("name")),
+        listen=address("listen", os.environ.get("RELAY_LISTEN") or need("listen")),
+        discovery=address("discovery", os.environ.get("RELAY_DISCOVERY") or need("discovery")),
+        seed=seed,
+        peer_listen=address("peer_listen", peer_listen) if peer_listen else None,
+        peers=[address(f"peers[{n}]", peer) for n, peer in enumerate(peers)],
+        peers_all=address("peers_all", everyone) if everyone else None,
+        known=known,
+        settings=settings,
+        groups=bool(family.get("groups", True)),
+    )
--- /dev/null
+++ b/sailrun/node/core.py
@@ -0,0 +1,383 @@
+"""The one task that owns the decision module, the timers and the form sessions.
+
+Fronts, the roster and the neighbours call the methods under "what others tell"; each only puts a call
+into the queue. Orders go back through `Household` and `Roster`, none of which waits.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import heapq
+import math
+import traceback
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import anyio
+
+from sailrun import interface as i
+from sailrun.decide import Balancer
+from sailrun.node.clock import Clock, log
+from sailrun.node.session import FormServer, FormSession, Placement, RosterNews
+from sailrun.node.watch import ServerWatch
+
+SECOND = 1_000_000
+SWEEP_US = 100_000
+# A planned restart: the platform kills no earlier than the longest deadline, taken as 3 s at most, plus
+# 0.7 s after it has asked. New households come for up to 0.4 s more.
+LONGEST_US, MOVES_SHARE, STOP_ACCEPTING_US = 3 * SECOND, 0.55, 1 * SECOND
+
+
+class Roster(Protocol):
+    """Where the core asks for the list of form servers."""
+
+    def watch(self, active: bool) -> None: ...
+    def fetch(self) -> None: ...
+
+
+class Neighbours(Protocol):
+    """The other nodes of the tier."""
+
+    def tell(self, neighbour: int | None, content: bytes) -> None: ...
+
+
+class Prober(Protocol):
+    """Whoever can ask a form server whether it runs."""
+
+    def probe(self, form_server: FormServer, until_us: int) -> None: ...
+
+
+class Node:
+    def __init__(self, settings: i.Settings, seed: int, clock: Clock, known: RosterNews) -> None:
+        self.clock = clock
+        self.settings = settings
+        self.roster: Roster | None = None
+        self.neighbours: Neighbours | None = None
+        self.prober: Prober | None = None
+        self.leaving = False  # asked to stop: everybody is being sent away
+        self._now = clock.now_us()
+        self._module = Balancer(settings, seed, self._now)
+        self._send, self._receive = anyio.create_memory_object_stream[Callable[[], None]](math.inf)
+        self._sessions: dict[str, FormSession] = {}
+        self._form_servers: dict[int, FormServer] = {}
+        self._watches: dict[int, ServerWatch] = {}
+        self._timers: list[tuple[int, int]] = []
+        self._sweep_us = self._now + SWEEP_US
+        aims = [c.message_objective_us for c in settings.classes if c.message_objective_us > 0]
+        self._slow_us = min(aims) / 3 if aims else 0.0
+        self._known = known
+        self._stop_us = self._moves_until_us = 0
+        self._stopped = anyio.Event()
+
+    # ------------------------------------------------------------------ what others tell
+
+    def _post(self, handler: Callable[..., None], *facts: Any) -> None:
+        with contextlib.suppress(
+            anyio.BrokenResourceError, anyio.ClosedResourceError
+        ):  # the node has stopped
+            self._send.send_nowait(lambda: handler(*facts))
+
+    def ask(self, session: FormSession) -> None:
+        """A household asks for a form session; one final answer is owed by its deadline."""
+        self._post(self._asked, session)
+
+    def placed(self, session: FormSession, placement: Placement, took_us: int) -> None:
+        self._post(self._placed, session, placement, took_us)
+
+    def attempt_over(self, session: FormSession, placement: Placement, outcome: i.Outcome) -> None:
+        self._post(self._attempt_over, session, placement, outcome)
+
+    def left(self, session: FormSession) -> None:
+        """The household has gone before its session stood."""
+        self._post(self._left, session)
+
+    def told_load(self, session: FormSession, load: float) -> None:
+        self._post(self._told_load, session, load)
+
+    def line_out(self, session: FormSession) -> None:
+        """A household's line went to its form server."""
+        session.unanswered.append(self.clock.now_us())
+
+    def heard(self, session: FormSession) -> None:
+        """Anything at all came from the session's form server."""
+        if session.placement is not None:
+            watch = self._watches.get(session.placement.form_server.number)
+            if watch is not None:
+                watch.heard_us = self.clock.now_us()
+
+    def answered(self, session: FormSession) -> None:
+        """The form server returned a household's line."""
+        if not session.unanswered or session.placement is None:
+            return
+        now_us = self.clock.now_us()
+        took_us = now_us - session.unanswered.popleft()
+        watch = self._watches.get(session.placement.form_server.number)
+        if watch is not None:
+            watch.answered(now_us, took_us)
+
+    def roster_told(self, news: RosterNews) -> None:
+        self._post(self._roster_told, news)
+
+    def roster_failed(self, why: str) -> None:
+        self._post(self._roster_failed, why)
+
+    def neighbour_said(self, neighbour: int, content: bytes) -> None:
+        self._post(lambda: self._feed(i.PeerMessage(neighbour, content)))
+
+    def probed(self, form_server: FormServer, outcome: i.Outcome, took_us: int) -> None:
+        self._post(lambda: self._feed(i.ProbeEnded(form_server.number, outcome, took_us)))
+
+    def leave(self) -> None:
+        """A planned restart begins: keep answering, spread the moves, be gone before the kill."""
+        self._post(self._leave)
+
+    # ------------------------------------------------------------------ the task
+
+    async def run(self) -> None:
+        """Runs until `leave` was called and everybody has been sent away."""
+        self._roster_told(self._known)
+        while not self._stopped.is_set():
+            due_us = min(self._sweep_us, self._timers[0][0] if self._timers else self._sweep_us)
+            call: Callable[[], None] | None = None
+            with anyio.CancelScope(deadline=self.clock.moment(due_us)):
+                call = await self._receive.receive()
+                # What comes in within a tick belongs together, as when a form server's process dies and
+                # all its connections break at once.
+                await anyio.sleep_until(self.clock.moment(self.clock.now_us() + self.settings.tick_us))
+            self._now = self.clock.now_us()
+            while call is not None:
+                call()
+                try:
+                    call = self._receive.receive_nowait()
+                except anyio.WouldBlock:
+                    call = None
+            while self._timers and self._timers[0][0] <= self._now:
+                self._feed(i.TimerFired(heapq.heappop(self._timers)[1]))
+            if self._now >= self._sweep_us:
+                self._sweep_us = self._now + SWEEP_US
+                self._sweep()
+
+    def _feed(self, event: i.Event) -> None:
+        """Hands the module one event and carries out what it decides."""
+        try:
+            actions = self._module.handle(self._now, event)
+        except Exception:
+            # A fault of the decisions must not take every other household down with the node.
+            log("fault", event=type(event).__name__, trace=traceback.format_exc())
+            session = self._sessions.get(getattr(event, "request", ""))
+            if session is not None and not session.stands:
+                self._end(session)
+                session.household.fail()
+            return
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: i.Action) -> None:
+        match action:
+            case i.Send():
+                self._send_to(action)
+            case i.Refuse():
+                if (session := self._answerable(action.request)) is not None:
+                    session.household.refuse(action.retry_after_us)
+            case i.Fail():
+                if (session := self._answerable(action.request)) is not None:
+                    session.household.fail()
+            case i.MoveConnection():
+                if (session := self._sessions.get(action.request)) is not None and session.stands:
+                    session.moving = True
+                    session.household.move()
+            case i.CancelAttempt():
+                if (session := self._sessions.get(action.request)) is not None and not session.stands:
+                    session.household.withdraw(action.attempt)
+            case i.SetTimer():
+                heapq.heappush(self._timers, (self._now + action.delay_us, action.token))
+            case i.Subscribe():
+                if self.roster is not None:
+                    self.roster.watch(action.active)
+            case i.FetchList():
+                if self.roster is not None:
+                    self.roster.fetch()
+            case i.TellPeer():
+                if self.neighbours is not None:
+                    self.neighbours.tell(action.peer, action.content)
+            case i.ProbeBackend():
+                form_server = self._form_servers.get(action.backend)
+                if self.prober is not None and form_server is not None:
+                    self.prober.probe(form_server, self._now + self.settings.connect_timeout_us)
+            case i.CloseIdle():
+                pass  # no connection here is ever idle: each belongs to one form session
+            case i.Log():
+                log("decision", text=action.text)
+
+    def _send_to(self, action: i.Send) -> None:
+        session = self._sessions.get(action.request)
+        form_server = self._form_servers.get(action.backend)
+        if session is None or session.over:
+            return
+        if form_server is None:
+            gone = FormServer("unlisted", ("", 0), i.BackendState.GONE)
+            session.placement = Placement(gone, session.attempts, action.until_us)
+            session.attempts += 1
+            self._post(self._attempt_over, session, session.placement, i.Outcome.NOT_SENT)
+            return
+        until_us = min(action.until_us or session.deadline_us, session.deadline_us)
+        self._order(session, form_server, until_us)
+
+    def _order(self, session: FormSession, form_server: FormServer, until_us: int) -> None:
+        session.placement = Placement(form_server, session.attempts, until_us)
+        session.attempts += 1
+        session.household.place(session.placement)
+
+    def _answerable(self, name: str) -> FormSession | None:
+        session = self._sessions.get(name)
+        if session is None or session.over:
+            return None
+        self._end(session)
+        return session
+
+    def _end(self, session: FormSession) -> None:
+        session.over = True
+        self._sessions.pop(session.id, None)
+
+    # ------------------------------------------------------------------ what has happened
+
+    def _asked(self, session: FormSession) -> None:
+        self._sessions[session.id] = session
+        if session.resumed_at is not None:
+            named = [s for s in self._form_servers.values() if s.name == session.resumed_at]
+            if named:
+                self._order(session, named[0], session.deadline_us)
+            else:
+                self._end(session)
+                session.household.fail()
+            return
+        self._feed(
+            i.RequestArrived(
+                session.id,
+                session.request_class,
+                max(0, session.deadline_us - self._now),
+                session.key,
+                session.group,
+                session.tenant,
+                session.load_hint,
+                session.repeat,
+                returning=session.returning,
+            )
+        )
+
+    def _placed(self, session: FormSession, placement: Placement, took_us: int) -> None:
+        number = placement.form_server.number
+        session.stands = session.over = True
+        self._watches.setdefault(number, ServerWatch()).sessions[session.id] = session
+        if session.resumed_at is not None:
+            self._feed(
+                i.ConnectionResumed(
+                    session.id,
+                    session.request_class,
+                    number,
+                    session.key,
+                    session.group,
+                    session.tenant,
+                    session.load_hint,
+                )
+            )
+        else:
+            self._feed(i.ConnectionOpened(session.id, placement.attempt, number, took_us))
+
+    def _attempt_over(self, session: FormSession, placement: Placement, outcome: i.Outcome) -> None:
+        if session.placement is not placement:
+            return  # already taken for over, as where its form server fell silent
+        number = placement.form_server.number
+        stood = session.stands
+        if stood:
+            self._watches[number].sessions.pop(session.id, None)
+            session.stands = False
+        session.placement = None
+        if outcome not in (i.Outcome.REJECTED, i.Outcome.CONNECT_FAILED, i.Outcome.NOT_SENT):
+            session.may_have_run = True
+        over = session.over or outcome is i.Outcome.OK
+        if over:
+            self._end(session)
+        elif session.resumed_at is not None:
+            self._end(session)
+            session.household.fail()
+            return
+        if session.resumed_at is None or stood:
+            self._feed(i.AttemptEnded(session.id, placement.attempt, number, outcome, over))
+
+    def _left(self, session: FormSession) -> None:
+        if session.over:
+            return
+        self._end(session)
+        if session.resumed_at is None:
+            self._feed(i.ClientLeft(session.id))
+
+    def _told_load(self, session: FormSession, load: float) -> None:
+        if session.placement is not None and session.stands:
+            number = session.placement.form_server.number
+            self._feed(
+                i.AttemptNotice(session.id, session.placement.attempt, number, i.NoticeKind.LOAD, load)
+            )
+
+    def _roster_told(self, news: RosterNews) -> None:
+        for form_server in news.form_servers:
+            self._form_servers[form_server.number] = form_server
+        self._feed(i.ListUpdate(news.kind, news.revision, tuple(s.as_backend() for s in news.form_servers)))
+
+    def _roster_failed(self, why: str) -> None:
+        log("roster-failed", why=why)
+        self._feed(i.ListUpdate(i.ListKind.FAILED))
+
+    # ------------------------------------------------------------------ by the clock
+
+    def _sweep(self) -> None:
+        for number, watch in self._watches.items():
+            silent = list(watch.silent(self._now))
+            for session in silent:
+                # Told to the module here, all at one time: it then sees that they broke together.
+                session.moving = True
+                session.household.move()
+                if session.placement is not None:
+                    self._attempt_over(session, session.placement, i.Outcome.RESET)
+            if silent:
+                name = self._form_servers[number].name if number in self._form_servers else number
+                log("silent", server=name, moved=len(silent))
+            value = watch.notice(self._now, self._slow_us)
+            told = next((s for s in watch.sessions.values() if s.placement is not None), None)
+            if value is not None and told is not None and told.placement is not None:
+                attempt = told.placement.attempt
+                self._feed(i.AttemptNotice(told.id, attempt, number, i.NoticeKind.DELAY, value))
+        if self._stop_us:
+            self._send_away()
+
+    def _leave(self) -> None:
+        if self._stop_us:
+            return
+        longest_us = min(LONGEST_US, max(c.deadline_us for c in self.settings.classes))
+        self.leaving = True
+        self._stop_us = self._now + longest_us
+        self._moves_until_us = self._now + int(MOVES_SHARE * longest_us)
+        log("leaving", sessions=len(self._standing()), within_ms=longest_us // 1000)
+
+    def _standing(self) -> list[FormSession]:
+        return [s for w in self._watches.values() for s in w.sessions.values() if not s.moving]
+
+    def _send_away(self) -> None:
+        """The moves are spread, so that the households do not all knock at the neighbours at once."""
+        standing = self._standing()
+        sweeps = max(1, (self._moves_until_us - self._now) // SWEEP_US)
+        for session in standing[: math.ceil(len(standing) / sweeps)]:
+            session.moving = True
+            session.household.move()
+        waiting = [s for s in self._sessions.values() if not s.over]
+        if self._now >= self._stop_us:
+            for session in waiting:
+                self._end(session)
+                if session.may_have_run or session.placement is not None:
+                    session.household.fail()
+                else:
+                    session.household.refuse(0)
+        accepting_over = self._now >= self._stop_us - LONGEST_US + STOP_ACCEPTING_US
+        moved = all(not w.sessions for w in self._watches.values())
+        if (accepting_over and moved and not waiting) or self._now >= self._stop_us + SECOND // 5:
+            self._stopped.set()
--- /dev/null
+++ b/sailrun/node/session.py
@@ -0,0 +1,94 @@
+"""Form sessions, the form servers that hold them, and what a front has to offer the core."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import mmh3
+
+from sailrun.interface import Backend, BackendState, ListKind
+
+
+def server_number(name: str) -> int:
+    """The number by which the decisions know a form server: the eight hex digits of its id, as every
+    other node and the simulator read them; an id of another form is hashed, likewise everywhere alike.
+    """
+    prefix, _, digits = name.partition("-")
+    if prefix == "s" and len(digits) == 8 and all(c in "0123456789abcdef" for c in digits):
+        return int(digits, 16)
+    return mmh3.hash(name, signed=False)
+
+
+@dataclass(frozen=True, slots=True)
+class FormServer:
+    """One entry of the roster."""
+
+    name: str
+    address: tuple[str, int]
+    state: BackendState
+    zone: str = ""
+    cell: int = 0
+    size: float = 1.0
+    started_us: int = 0  # 0: long ago
+
+    @property
+    def number(self) -> int:
+        return server_number(self.name)
+
+    def as_backend(self) -> Backend:
+        return Backend(self.number, self.state, self.zone, self.cell, self.size, self.started_us)
+
+
+@dataclass(frozen=True, slots=True)
+class RosterNews:
+    """What a roster told at one time."""
+
+    kind: ListKind
+    revision: int
+    form_servers: tuple[FormServer, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """One attempt to have a form server take a form session, given up at an absolute time."""
+
+    form_server: FormServer
+    attempt: int
+    until_us: int
+
+
+class Household(Protocol):
+    """The core's hold on the household's connection, kept by the front it came through. No call waits."""
+
+    def place(self, placement: Placement) -> None: ...
+    def withdraw(self, attempt: int) -> None: ...
+    def refuse(self, retry_after_us: int) -> None: ...
+    def fail(self) -> None: ...
+    def move(self) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class FormSession:
+    """One household's connection, from its request to its end."""
+
+    id: str
+    request_class: str
+    deadline_us: int
+    household: Household
+    key: str | None = None
+    group: str | None = None
+    tenant: str | None = None
+    load_hint: float | None = None
+    repeat: bool = False
+    returning: bool = False
+    resumed_at: str | None = None  # it stood at this form server before the node started
+    # What the core keeps of it.
+    placement: Placement | None = None
+    attempts: int = 0
+    may_have_run: bool = False
+    stands: bool = False
+    over: bool = False  # the household has its final answer or has left
+    moving: bool = False
+    unanswered: deque[int] = field(default_factory=deque)  # when each line without an answer was sent
--- /dev/null
+++ b/sailrun/platform/lines.py
@@ -0,0 +1,99 @@
+"""The text of the platform's protocol: what a first line says, and what a form server's line means."""
+
+from __future__ import annotations
+
+import math
+import re
+from dataclasses import dataclass
+
+from sailrun.interface import Outcome
+
+_WORD = re.compile(r"[\x21-\x7e]{1,128}")
+_DEADLINE = re.compile(rb"(?<=[ ,])d=\d+")
+# A household that names no time of its own, or one past all reason, is bound by this.
+LONGEST_WAIT_MS = 600_000
+
+
+class BadLine(ValueError):
+    """No first line in the protocol's form."""
+
+
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """A household's first line."""
+
+    line: bytes
+    id: str
+    key: str
+    request_class: str
+    wait_ms: int
+    group: str | None
+    repeat: bool
+    returning: bool
+    resumed_at: str | None
+    load_hint: float | None
+
+    def for_form_server(self, wait_ms: int) -> bytes:
+        """The same line, telling how long the node will wait."""
+        return _DEADLINE.sub(b"d=%d" % wait_ms, self.line, count=1)
+
+
+def parse_opening(line: bytes) -> Opening:
+    try:
+        words = line.decode("ascii").rstrip("\r\n").split(" ")
+    except UnicodeDecodeError:
+        raise BadLine("not text") from None
+    if len(words) != 4 or words[0] != "OPEN" or not all(_WORD.fullmatch(w) for w in words[1:]):
+        raise BadLine("not OPEN, an id, a key and a list")
+    facts: dict[str, str] = {}
+    for part in words[3].split(","):
+        name, sep, value = part.partition("=")
+        if not sep or not name or name in facts:
+            raise BadLine(f"'{part}' is no name=value, or comes twice")
+        facts[name] = value
+    if not facts.get("c"):
+        raise BadLine("no class")
+    if not facts.get("d", "").isdigit() or len(facts["d"]) > 12:
+        raise BadLine("no time to wait")
+    hint = None
+    if "h" in facts:
+        try:
+            hint = float(facts["h"])
+        except ValueError:
+            hint = math.nan
+        if not math.isfinite(hint) or hint < 0:
+            raise BadLine("an estimate that is no number")
+    return Opening(
+        line,
+        words[1],
+        words[2],
+        facts["c"],
+        min(int(facts["d"]), LONGEST_WAIT_MS),
+        facts.get("g"),
+        facts.get("r") == "1",
+        facts.get("again") == "1",
+        facts.get("at"),
+        hint,
+    )
+
+
+def word_of(line: bytes) -> bytes:
+    return line.split(None, 1)[0] if line.strip() else b""
+
+
+# What the line before the end of a form server's connection says of the end.
+ENDINGS = {b"BYE": Outcome.OK, b"MOVE": Outcome.CANCELLED}
+# What a form server's first line says where it is not UP.
+ANSWERS = {**ENDINGS, b"BUSY": Outcome.REJECTED}
+
+
+def load_told(line: bytes) -> float | None:
+    """The figure of a LOAD line; None for any other line."""
+    words = line.split()
+    if len(words) != 2 or words[0] != b"LOAD":
+        return None
+    try:
+        load = float(words[1])
+    except ValueError:
+        return None
+    return load if math.isfinite(load) and load >= 0 else None
--- /dev/null
+++ b/sailrun/platform/neighbours.py
@@ -0,0 +1,79 @@
+"""Datagrams between the nodes of the tier, and probes of form servers."""
+
+from __future__ import annotations
+
+import socket
+
+import anyio
+from anyio.abc import TaskGroup
+
+from sailrun.connection import connect, new_socket
+from sailrun.interface import Outcome
+from sailrun.node.clock import log
+from sailrun.node.core import Node
+from sailrun.node.session import FormServer
+
+LONGEST_DATAGRAM = 256
+
+Address = tuple[str, int]
+
+
+class Datagrams:
+    """The core's `Neighbours`."""
+
+    def __init__(self, node: Node, listen: Address, peers: list[Address], everyone: Address | None) -> None:
+        self._node = node
+        self._peers = peers
+        self._everyone = everyone
+        self._socket = new_socket(listen[0], socket.SOCK_DGRAM)
+        self._socket.bind(listen)
+
+    def tell(self, neighbour: int | None, content: bytes) -> None:
+        if len(content) > LONGEST_DATAGRAM:
+            log("neighbour-message-too-long", bytes=len(content))
+            return
+        if neighbour is None:
+            to = self._everyone
+        else:
+            to = self._peers[neighbour] if 0 <= neighbour < len(self._peers) else None
+        if to is not None:
+            try:
+                self._socket.sendto(content, to)
+            except OSError as error:
+                log("neighbour-unreached", neighbour=neighbour, error=str(error))
+
+    async def run(self) -> None:
+        while True:
+            await anyio.wait_readable(self._socket)
+            try:
+                content, sender = self._socket.recvfrom(LONGEST_DATAGRAM + 1)
+            except OSError:
+                continue
+            if sender in self._peers:
+                self._node.neighbour_said(self._peers.index(sender), content)
+
+
+class Probes:
+    """The core's `Prober`: asks a form server PING on a connection of its own."""
+
+    def __init__(self, node: Node, group: TaskGroup) -> None:
+        self._node, self._group = node, group
+
+    def probe(self, form_server: FormServer, until_us: int) -> None:
+        self._group.start_soon(self._probe, form_server, until_us)
+
+    async def _probe(self, form_server: FormServer, until_us: int) -> None:
+        began_us = self._node.clock.now_us()
+        outcome, connection = Outcome.TIMED_OUT, None
+        try:
+            with anyio.CancelScope(deadline=self._node.clock.moment(until_us)):
+                connection = await connect(form_server.address)
+                await connection.write(b"PING\r\n")
+                line = await connection.line()
+                outcome = Outcome.OK if line is not None and line.strip() == b"PONG" else Outcome.ERROR
+        except (OSError, ValueError):
+            outcome = Outcome.RESET if connection is not None else Outcome.CONNECT_FAILED
+        finally:
+            if connection is not None:
+                connection.close()
+        self._node.probed(form_server, outcome, self._node.clock.now_us() - began_us)
--- /dev/null
+++ b/tests/stand_ins.py
@@ -0,0 +1,240 @@
+"""Small stand-ins for what surrounds a node, from the protocol: form servers, the roster, households."""
+
+from __future__ import annotations
+
+import json
+import os
+import queue
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+# Only a test that fails waits so long.
+PATIENCE_S = 10.0
+CLASSES = {"page-load": 2_000_000, "answer-save": 2_000_000}
+
+SETTINGS: dict[str, Any] = {
+    "az": "daejeon-1",
+    "siblings": 1,
+    "index": 0,
+    "discovery": "ask",
+    "tickUs": 5000,
+    "services": [
+        {"name": name, "objectiveUs": 500_000, "deadlineUs": us, "effect": "idempotent", "gain": 1.0}
+        for name, us in CLASSES.items()
+    ],
+    "familyInfo": {"messageAimUs": [50_000.0, 250_000.0], "groups": True, "mode": "proxy"},
+    "limits": {
+        "maxAttempts": 5,
+        "connectTimeoutUs": 120_000,
+        "retryAfter": True,
+        "maxRetryAfterUs": 2_000_000,
+        "peerMessages": True,
+    },
+    "obligations": {
+        "drainGraceUs": 2_000_000,
+        "coldFrom": 0.13,
+        "coldUs": 24_000_000,
+        "fallMultiple": 3.0,
+        "fallUs": 3_000_000,
+        "answerSlackUs": 20_000,
+        "mustAskInUs": 10_000_000,
+    },
+}
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+class Peer:
+    """One end of a TCP connection, read line by line."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        sock.settimeout(PATIENCE_S)
+        self.sock, self.file = sock, sock.makefile("rb")
+
+    def say(self, line: str) -> None:
+        self.sock.sendall(line.encode() + b"\r\n")
+
+    def hear(self) -> str:
+        """The next line; empty once the other side has ended."""
+        return self.file.readline().decode().rstrip("\r\n")
+
+    def close(self) -> None:
+        self.file.close()
+        self.sock.close()
+
+
+class Listener:
+    """Accepts connections and hands each to `serve` on a thread of its own."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]  # noqa: UP031
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        with suppress(OSError):
+            while True:
+                sock, _ = self._listener.accept()
+                threading.Thread(target=self._one, args=(Peer(sock),), daemon=True).start()
+
+    def _one(self, peer: Peer) -> None:
+        with suppress(OSError, ValueError):
+            self.serve(peer)
+
+    def serve(self, peer: Peer) -> None:
+        raise NotImplementedError
+
+    def stop(self) -> None:
+        self._listener.close()
+
+
+class FormServer(Listener):
+    """Answers first lines as told; one that is placed returns every line."""
+
+    def __init__(self, name: str, answer: str | None = "UP r1") -> None:
+        self.name, self.answer = name, answer
+        self.openings: queue.Queue[str] = queue.Queue()
+        self.ends: queue.Queue[str] = queue.Queue()  # how each connection was ended by the node
+        self.peers: list[Peer] = []
+        super().__init__()
+
+    def serve(self, peer: Peer) -> None:
+        first = peer.hear()
+        self.openings.put(first)
+        self.peers.append(peer)
+        if self.answer is not None:
+            peer.say(self.answer)
+            if not self.answer.startswith("UP"):
+                peer.close()
+                return
+        try:
+            while line := peer.hear():
+                if self.answer is not None:
+                    peer.say(line)
+            self.ends.put("ended")
+        except ConnectionError:
+            self.ends.put("broken")
+
+    def entry(self, phase: str = "SERVING") -> dict[str, Any]:
+        return {
+            "id": self.name,
+            "host_port": self.address,
+            "locality": "daejeon-1",
+            "flavor": "std-2c",
+            "cell": 0,
+            "phase": phase,
+            "size": 1.0,
+            "up_since_ms": 0,
+        }
+
+
+class Roster(Listener):
+    """Answers the whole list at once and holds a watch until there is something to tell."""
+
+    def __init__(self, members: list[dict[str, Any]]) -> None:
+        self.revision, self.members = 41, members
+        self.asked: queue.Queue[tuple[float, str]] = queue.Queue()
+        self.answers: queue.Queue[bytes] = queue.Queue()  # raw bodies for the watches
+        super().__init__()
+
+    def known(self) -> dict[str, Any]:
+        return {"revision": self.revision, "complete": True, "members": self.members}
+
+    def tell(self, *members: dict[str, Any]) -> None:
+        self.revision += 1
+        news = {"revision": self.revision, "complete": False, "members": members}
+        self.answers.put(json.dumps(news).encode())
+
+    def serve(self, peer: Peer) -> None:
+        while request := peer.hear():
+            while peer.hear():
+                pass
+            self.asked.put((time.monotonic(), request.split()[1]))
+            body = self.answers.get()
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            peer.sock.sendall(head.encode() + body)
+
+
+class RunningNode:
+    def __init__(self, process: subprocess.Popen[str], listen: str) -> None:
+        self.process, self.listen = process, listen
+        self.lines: list[str] = []
+        self._news = threading.Condition()
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def _read(self) -> None:
+        assert self.process.stderr is not None
+        for line in self.process.stderr:
+            with self._news:
+                self.lines.append(line.rstrip("\n"))
+                self._news.notify_all()
+
+    def logged(self, *words: str) -> str:
+        """Waits for a log line with all these words."""
+
+        def found() -> str | None:
+            return next((line for line in self.lines if all(w in line for w in words)), None)
+
+        with self._news:
+            line = self._news.wait_for(found, PATIENCE_S)
+        assert line, f"no line with {words} in {self.lines}"
+        return line
+
+    def connect(self) -> Peer:
+        host, port = self.listen.split(":")
+        return Peer(socket.create_connection((host, int(port)), PATIENCE_S))
+
+    def ask(self, id_: str = "9b1f03aa5c7e2d41", wait_ms: int = 2000, more: str = "") -> Peer:
+        """A household that has sent its first line."""
+        household = self.connect()
+        household.say(f"OPEN {id_} 7f3a9c21e0b4d655 c=page-load,d={wait_ms},g=5c0f6e1a2b3d4c59{more}")
+        return household
+
+    def terminate(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+
+@contextmanager
+def node(
+    folder: Path, roster: Roster, prepare: Callable[[], None] | None = None, **changes: Any
+) -> Iterator[RunningNode]:
+    listen = f"127.0.0.1:{free_port()}"
+    config = {
+        "name": "n1",
+        "listen": listen,
+        "discovery": roster.address,
+        "seed": "8c1f30d27a5be964",
+        "peers": [],
+        "known": roster.known(),
+        "settings": SETTINGS,
+        **changes,
+    }
+    path = folder / "config.json"
+    path.write_text(json.dumps(config))
+    environment = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
+    with subprocess.Popen(
+        [sys.executable, "-m", "sailrun"],
+        env={**environment, "RELAY_CONFIG": str(path)},
+        stderr=subprocess.PIPE,
+        text=True,
+        preexec_fn=prepare,
+    ) as process:
+        running = RunningNode(process, listen)
+        try:
+            running.logged("serving")
+            yield running
+        finally:
+            process.kill()
+            process.wait()
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,121 @@
+"""The real program as a process, between stand-in households, form servers and a roster."""
+
+from __future__ import annotations
+
+import resource
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.stand_ins import PATIENCE_S, FormServer, Roster, node
+
+
+@pytest.fixture
+def form_server() -> Iterator[FormServer]:
+    server = FormServer("s-5be2a07c")
+    yield server
+    server.stop()
+
+
+@pytest.fixture
+def roster(form_server: FormServer) -> Iterator[Roster]:
+    roster = Roster([form_server.entry()])
+    yield roster
+    roster.stop()
+
+
+def test_a_session_is_placed_and_its_lines_pass_unchanged(
+    tmp_path: Path, form_server: FormServer, roster: Roster
+) -> None:
+    with node(tmp_path, roster) as running:
+        check = running.connect()
+        check.say("PING")
+        assert check.hear() == "PONG"
+        household = running.ask(more=",x=1")
+        assert household.hear() == "UP r1"
+        opening = form_server.openings.get(timeout=PATIENCE_S)
+        head, _, facts = opening.rpartition(" ")
+        assert head == "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655"
+        before, waiting, *after = facts.split(",")
+        # Only `d` is rewritten: this attempt is given up after the class's objective, not the client's 2 s.
+        assert (before, *after) == ("c=page-load", "g=5c0f6e1a2b3d4c59", "x=1")
+        assert 400 <= int(waiting.removeprefix("d=")) <= 500
+        for line in ("page 3", "answer 4"):
+            household.say(line)
+            assert household.hear() == line
+        form_server.peers[0].say("LOAD 812.5")
+        assert household.hear() == "LOAD 812.5"
+        household.close()
+        assert form_server.ends.get(timeout=PATIENCE_S) == "ended"
+        running.logged("ended", "reason=household-left", "server=s-5be2a07c")
+
+
+def test_a_form_server_that_ends_the_session_ends_the_household_too(
+    tmp_path: Path, form_server: FormServer, roster: Roster
+) -> None:
+    with node(tmp_path, roster) as running:
+        household = running.ask()
+        assert household.hear() == "UP r1"
+        form_server.peers[0].say("BYE")
+        form_server.peers[0].close()
+        assert household.hear() == "BYE"
+        assert household.hear() == ""
+        running.logged("ended", "reason=served")
+
+
+@pytest.mark.parametrize("line", ["HELLO", "OPEN a b", "OPEN a b c=page-load", "OPEN a b c=x,d=no", "\x00"])
+def test_a_bad_first_line_gets_the_protocols_error(tmp_path: Path, roster: Roster, line: str) -> None:
+    with node(tmp_path, roster) as running:
+        household = running.connect()
+        household.say(line)
+        assert household.hear() == "SYNTAX"
+        running.logged("ended", "bad-first-line")
+        assert not any("Traceback" in text for text in running.lines)
+
+
+def test_the_next_watch_follows_at_once_and_a_bad_list_changes_nothing(
+    tmp_path: Path, form_server: FormServer, roster: Roster
+) -> None:
+    with node(tmp_path, roster) as running:
+        assert "after=41&wait_ms=" in roster.asked.get(timeout=PATIENCE_S)[1]
+        told = time.monotonic()
+        roster.tell(form_server.entry())
+        asked, path = roster.asked.get(timeout=PATIENCE_S)
+        assert "after=42&" in path
+        assert asked - told < 0.2
+        roster.answers.put(b'{"revision":43,"complete":true,"members":[{"id":"s-1"}]}')
+        running.logged("roster-failed", "phase")
+        household = running.ask()
+        assert household.hear() == "UP r1"
+
+
+def test_households_are_moved_before_the_node_leaves(
+    tmp_path: Path, form_server: FormServer, roster: Roster
+) -> None:
+    with node(tmp_path, roster) as running:
+        standing = [running.ask(f"{n:016x}") for n in range(3)]
+        assert [h.hear() for h in standing] == ["UP r1"] * 3
+        running.terminate()
+        running.logged("leaving")
+        late = running.ask("late")  # households still come for a moment, and are still served
+        assert late.hear() == "UP r1"
+        for household in (*standing, late):
+            assert household.hear() == "MOVE"
+            assert household.hear() == ""
+        assert running.process.wait(PATIENCE_S) == 0
+        assert sum("reason=moved" in line for line in running.lines) == 4
+
+
+def test_the_node_survives_running_out_of_descriptors(tmp_path: Path, roster: Roster) -> None:
+    def few() -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (32, 32))
+
+    with node(tmp_path, roster, prepare=few) as running:
+        idle = [running.connect() for _ in range(40)]
+        running.logged("out-of-descriptors", "doing=accept")
+        for connection in idle:
+            connection.close()
+        household = running.ask()
+        assert household.hear() == "UP r1"
