Answer a request at once when no form server can take it in time

_place and _pump in decide.py held every request that no form server admitted until 60 ms before its deadline, also when it had tried them all or each was shut for longer than that. Now `_opens_us` asks when the gates that time alone opens (ejection, crowding notes, limit, warm-up slots, pace) would let it through; past the last look, the final answer goes out at once with the time to come back. A request is held only while there is something to wait for.

--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -265,8 +265,8 @@
             return
         server = self._choose(request) if self._paced(request) else None
         if server is None:
-            if left_us <= PUMP_US + 2 * self._set.tick_us:
-                self._finish(request)  # the next look would come too late for an answer
+            if self._opens_us(request) > self._last_look_us(request):
+                self._finish(request)  # given up: answered at once, not when its time is nearly over
             elif request.id not in self._held:
                 self._held[request.id] = request
                 self._arm_pump()
@@ -342,6 +342,40 @@
             yield self._ready[n]
         yield from sorted(first, key=lambda s: (-((s.hash * request.client) & MASK), s.id))
 
+    def _last_look_us(self, request: _Request) -> int:
+        """When a held request is looked at for the last time: later, an answer would come too late."""
+        return request.deadline_us - PUMP_US - 2 * self._set.tick_us
+
+    def _opens_us(self, request: _Request) -> float:
+        """The earliest time at which a backend not tried yet may take the request, as things stand: what is
+        sure to keep every one shut for longer leaves nothing to wait for.
+        """
+        if request.mid_flow and request.attempts == 0:
+            return self._now  # its holder may be listed yet
+        opens = min((self._gates_open_us(s, request.load) for s in self._ready if self._may(request, s)),
+                    default=math.inf)  # fmt: skip
+        if self._pace > 0:
+            opens = max(opens, self._now + SECOND * (1.0 - self._pace_tokens) / self._pace)
+        return max(opens, request.not_before_us)
+
+    def _gates_open_us(self, server: _Server, load: float) -> float:
+        """When the gates that time alone opens would let a connection of this load through."""
+        opens: float = max(self._now, server.ejected_until)
+        if self._crowded(server, 1.0):
+            opens = max(opens, server.delay_us + NOTE_US)
+        if not self._below_limit(server, load):
+            grown = (server.load + load / 2) / server.limit - 1.0 if server.limit > 0 else math.inf
+            opens = max(opens, server.limit_us + SECOND * grown / LIMIT_GROWTH)
+        if not self._warm_enough(server):
+            fair, age_us = self._fair(server), self._now - server.cold_from_us
+            share = self._set.cold_from + (1 - self._set.cold_from) * age_us / self._set.cold_us
+            rate = share * fair / max(self._unit(), 1e-9) / (2 * self._set.fall_us)
+            slot_us = max(0.0, 1.0 - server.tokens) / rate if rate > 0 else math.inf
+            room = (server.load / fair - share) / (1 - self._set.cold_from) if fair > 0 else math.inf
+            room_us = max(0.0, room) * self._set.cold_us
+            opens = max(opens, self._now + min(max(slot_us, room_us), self._set.cold_us - age_us))
+        return opens
+
     def _holder(self, request: _Request) -> _Server | None:
         """Mid-flow: the top score over ready backends and those draining within the grace."""
         grace_us = self._set.drain_grace_us - self._set.tick_us
@@ -677,8 +711,9 @@
         rest wait for the next round, first in line then: in a full fleet looks cost CPU and find nothing.
         """
         misses = 0
+        opens = min((self._gates_open_us(s, 0.0) for s in self._ready), default=math.inf)
         for request in list(self._held.values()):
-            if request.deadline_us - self._now <= PUMP_US + 2 * self._set.tick_us:
+            if opens > self._last_look_us(request) or self._now >= self._last_look_us(request):
                 self._finish(request)
             elif misses < PUMP_MISSES and request.not_before_us <= self._now:
                 self._place(request)
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -23,6 +23,7 @@
 
 SECOND = 1_000_000
 SWEEP_US = 100_000
+PULSE_US = 10 * SECOND
 # A planned restart: the platform kills no earlier than the longest deadline, taken as 3 s at most, plus
 # 0.7 s after it has asked. New households come for up to 0.4 s more.
 LONGEST_US, MOVES_SHARE, STOP_ACCEPTING_US = 3 * SECOND, 0.55, 1 * SECOND
@@ -63,6 +64,7 @@
         self._watches: dict[int, ServerWatch] = {}
         self._timers: list[tuple[int, int]] = []
         self._sweep_us = self._now + SWEEP_US
+        self._pulse_us = self._now + PULSE_US
         aims = [c.message_objective_us for c in settings.classes if c.message_objective_us > 0]
         self._slow_us = min(aims) / 3 if aims else 0.0
         self._known = known
@@ -356,9 +358,23 @@
             if value is not None and told is not None and told.placement is not None:
                 attempt = told.placement.attempt
                 self._feed(i.AttemptNotice(told.id, attempt, number, i.NoticeKind.DELAY, value))
+        if self._now >= self._pulse_us:
+            self._pulse_us = self._now + PULSE_US
+            self._pulse()
         if self._stop_us:
             self._send_away()
 
+    def _pulse(self) -> None:
+        """What on-call staff look at first: how many sessions stand where, and what a message takes there."""
+        shown = []
+        for number, watch in sorted(self._watches.items()):
+            if watch.sessions:
+                delay_us = watch.delay_us(self._now)
+                took = f"{delay_us / 1000:.1f}ms" if delay_us is not None else "-"
+                shown.append(f"{self._name(number)}:{len(watch.sessions)}/{took}")
+        waiting = sum(1 for s in self._sessions.values() if not s.over)
+        log("pulse", waiting=waiting, standing=",".join(shown) or "none")
+
     def _name(self, number: int) -> str:
         known = self._form_servers.get(number)
         return known.name if known is not None else str(number)
