--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -201,6 +201,8 @@
     def _state(self, server: _Server, state: i.BackendState) -> None:
         if server.state is i.BackendState.READY and state is not i.BackendState.READY:
             server.told_us = self._now
+            # Its households move before it leaves; those that it sends away itself have gone already.
+            self._out += [i.MoveConnection(name) for name in server.open]
         server.state = state
 
     def _follow(self) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -119,3 +119,76 @@
             connection.close()
         household = running.ask()
         assert household.hear() == "UP r1"
+
+
+def test_a_full_form_server_never_ran_it_and_the_next_one_is_asked(tmp_path: Path) -> None:
+    busy, other = FormServer("s-00000001", "BUSY"), FormServer("s-00000002", "BUSY")
+    roster = Roster([busy.entry(), other.entry()])
+    with node(tmp_path, roster) as running:
+        asked = time.monotonic()
+        answer, _, wait_ms = running.ask().hear().partition(" ")
+        # Every one was tried: given up, so answered at once and with the time to come back.
+        assert answer == "BUSY" and 0 < int(wait_ms) <= 2000
+        assert time.monotonic() - asked < 1.0
+        assert busy.openings.qsize() == other.openings.qsize() == 1
+        running.logged("ended", "reason=refused", "attempts=2")
+
+
+@pytest.mark.parametrize(("answer", "said"), [("ERR", "ERR"), (None, "ERR")], ids=["error", "silence"])
+def test_what_may_have_run_is_failed_and_never_refused(tmp_path: Path, answer: str | None, said: str) -> None:
+    server = FormServer("s-00000001", answer)
+    with node(tmp_path, Roster([server.entry()])) as running:
+        assert running.ask(wait_ms=700).hear() == said
+        assert server.openings.qsize() == 1
+
+
+def test_a_session_from_before_the_run_goes_back_to_its_form_server(tmp_path: Path) -> None:
+    servers = [FormServer(f"s-0000000{n}", f"UP r{n}") for n in range(1, 4)]
+    with node(tmp_path, Roster([s.entry() for s in servers])) as running:
+        for n in range(1, 4):
+            assert running.ask(f"{n:016x}", 40_000, f",at=s-0000000{n}").hear() == f"UP r{n}"
+        assert running.ask("4", 40_000, ",at=s-00000009").hear() == "ERR"
+
+
+def test_a_form_server_that_falls_silent_has_its_households_moved(
+    tmp_path: Path, form_server: FormServer, roster: Roster
+) -> None:
+    with node(tmp_path, roster) as running:
+        households = [running.ask(f"{n:016x}") for n in range(10)]
+        assert [h.hear() for h in households] == ["UP r1"] * 10
+        form_server.answer = None  # from here on it returns nothing, and its connections stay open
+        began = time.monotonic()
+        for household in households:
+            household.say("page 3")
+        assert [h.hear() for h in households] == ["MOVE"] * 10
+        assert time.monotonic() - began < 7
+        # Some are moved as off any slow form server; the rest together, once it counts as silent.
+        running.logged("silent", "server=s-5be2a07c")
+        assert form_server.ends.get(timeout=PATIENCE_S)
+
+
+def test_a_household_is_moved_between_two_lines(
+    tmp_path: Path, form_server: FormServer, roster: Roster
+) -> None:
+    with node(tmp_path, roster) as running:
+        household = running.ask()
+        assert household.hear() == "UP r1"
+        form_server.peers[0].sock.sendall(b"page ")  # half a line is passed on at once
+        assert household.file.read(5) == b"page "
+        running.terminate()
+        running.logged("leaving")
+        form_server.peers[0].sock.sendall(b"7\r\n")
+        assert [household.hear(), household.hear(), household.hear()] == ["7", "MOVE", ""]
+
+
+def test_households_are_moved_off_a_form_server_that_drains(
+    tmp_path: Path, form_server: FormServer, roster: Roster
+) -> None:
+    with node(tmp_path, roster) as running:
+        roster.asked.get(timeout=PATIENCE_S)
+        household = running.ask()
+        assert household.hear() == "UP r1"
+        roster.tell(form_server.entry("DRAINING"))
+        assert household.hear() == "MOVE"
+        assert running.ask().hear().startswith("BUSY")  # and nothing new goes there
+        assert form_server.openings.qsize() == 1
