Tell the core of every attempt's end, also when the household breaks off under way

Found by reading and then by a test that resets the household's connection while lines pass: a write to a household that had broken left _try in platform/households.py by an exception, so the core never heard of the end and counted the session as standing until the restart; and what a task group raises is a group, which `except OSError` does not catch, so each such end was logged as a fault. The end is now told in a `finally`, in both fronts, and groups are caught as groups.

An overlong first line was cut off without a word; it now gets SYNTAX, and what is still under way is read so that the answer is not lost to a reset. A line's unfinished start stays in the connection's one buffer; it used to be kept beside it. An AMQP session that ends takes its links with it, and freed links let a broker's connection attach any number of them.

--- a/sailrun/amqp/households.py
+++ b/sailrun/amqp/households.py
@@ -132,7 +132,7 @@
     def __init__(self, front: HouseholdConnection, link: Any) -> None:
         self._front = front
         self._node = front.node
-        self._link = link
+        self.link = link
         self._began_us = self._node.clock.now_us()
         self._session: FormSession | None = None
         self._scope: anyio.CancelScope | None = None
@@ -144,7 +144,7 @@
 
     def ask(self) -> None:
         """Reads the request out of the attach; a bad one is detached with the reason."""
-        facts = {str(name): value for name, value in (self._link.remote_properties or {}).items()}
+        facts = {str(name): value for name, value in (self.link.remote_properties or {}).items()}
         key, group, cls, left = (facts.get(name) for name in (KEY, GROUP, CLASS, TIME_LEFT))
         for name, value, kind in ((KEY, key, str), (CLASS, cls, str), (TIME_LEFT, left, int)):
             if not isinstance(value, kind) or isinstance(value, bool) or not value:
@@ -155,7 +155,7 @@
             return
         assert isinstance(left, int)
         self._session = FormSession(
-            id=f"{self._link.name}.{self._began_us}.{id(self)}",
+            id=f"{self.link.name}.{self._began_us}.{id(self)}",
             request_class=str(cls),
             deadline_us=self._began_us + max(0, min(left, LONGEST_WAIT_MS)) * 1000,
             household=self,
@@ -203,13 +203,13 @@
         if self._ended:
             return
         self._finish(reason)
-        if self._link.state & proton.Endpoint.LOCAL_UNINIT:
+        if self.link.state & proton.Endpoint.LOCAL_UNINIT:
             # An attach with no terminus: the link is not taken, and the detach that follows says why.
-            (self._link.target if self._link.is_receiver else self._link.source).type = _NO_TERMINUS
-            self._link.open()
+            (self.link.target if self.link.is_receiver else self.link.source).type = _NO_TERMINUS
+            self.link.open()
         if condition:
-            self._link.condition = proton.Condition(condition, text, info)
-        self._link.close()
+            self.link.condition = proton.Condition(condition, text, info)
+        self.link.close()
         self._front.engine.changed()
 
     def _finish(self, reason: str) -> None:
@@ -224,7 +224,7 @@
             "ended",
             reason=reason,
             front="amqp",
-            link=self._link.name,
+            link=self.link.name,
             cls=self._session.request_class if self._session else None,
             server=self._at,
             attempts=self._session.attempts if self._session else None,
@@ -239,6 +239,9 @@
         if self._session is not None:
             self._node.left(self._session)
 
+    def belongs_to(self, session: Any) -> bool:
+        return bool(self.link.session == session)
+
     def flow(self) -> None:
         for passage in self._form_server.passages if self._form_server is not None else []:
             passage.grant()
@@ -249,8 +252,16 @@
 
     async def _try(self, placement: Placement) -> None:
         """One attempt, and the session if it stands. Its connection is closed before the core hears of
-        its end, so that no two are ever out.
+        its end, so that no two are ever out; and the core hears of it whatever happens.
         """
+        assert self._session is not None
+        outcome = Outcome.RESET
+        try:
+            outcome = await self._attempt_session(placement)
+        finally:
+            self._node.attempt_over(self._session, placement, outcome)
+
+    async def _attempt_session(self, placement: Placement) -> Outcome:
         assert self._session is not None
         clock = self._node.clock
         self._at = placement.form_server.name
@@ -276,7 +287,7 @@
             self._end_with(outcome)
             self._form_server = None
             await server.say_goodbye(clock.moment)
-        self._node.attempt_over(self._session, placement, outcome)
+        return outcome
 
     async def _set_up(self, placement: Placement, sent_us: int) -> tuple[FormServerLink | None, Outcome]:
         clock = self._node.clock
@@ -289,7 +300,7 @@
             if connection is None:
                 return None, Outcome.CONNECT_FAILED
             server = FormServerLink(clock.now_us, self._front.terms, connection)
-            server.attach(self._link, max(1, (placement.until_us - clock.now_us()) // 1000))
+            server.attach(self.link, max(1, (placement.until_us - clock.now_us()) // 1000))
             self._front.group.start_soon(server.run)
             await server.answered.wait()
             if server.ended.is_set():
@@ -310,11 +321,11 @@
         assert self._session is not None
         session = self._session
         self._form_server = server
-        self._link.source.copy(server.link.remote_source)
-        self._link.target.copy(server.link.remote_target)
+        self.link.source.copy(server.link.remote_source)
+        self.link.target.copy(server.link.remote_target)
         if server.link.remote_properties:
-            self._link.properties = dict(server.link.remote_properties)
-        self._link.open()
+            self.link.properties = dict(server.link.remote_properties)
+        self.link.open()
         near, far = self._front.engine, server.engine
 
         def passed() -> None:
@@ -328,10 +339,10 @@
         def nothing() -> None:
             self._quiet.set()
 
-        if self._link.is_receiver:
-            passage = Passage(self._link, server.link, near, far, passed, outcome)
+        if self.link.is_receiver:
+            passage = Passage(self.link, server.link, near, far, passed, outcome)
         else:
-            passage = Passage(server.link, self._link, far, near, nothing, nothing)
+            passage = Passage(server.link, self.link, far, near, nothing, nothing)
         server.passages.append(passage)
         far.on_sent = passage.transfer
         near.changed()
@@ -397,7 +408,11 @@
         elif kind in (proton.Event.LINK_REMOTE_CLOSE, proton.Event.LINK_REMOTE_DETACH):
             self._link_left(event.link)
         elif kind == proton.Event.SESSION_REMOTE_CLOSE:
+            # A session takes its links with it, detached or not.
+            for known in [k for k in self._links.values() if k.belongs_to(event.session)]:
+                self._link_left(known.link)
             event.session.close()
+            event.session.free()
         elif kind == proton.Event.CONNECTION_REMOTE_CLOSE:
             self._reason = "closed"
             self.engine.amqp.close()
@@ -418,6 +433,8 @@
             if link.state & proton.Endpoint.LOCAL_UNINIT:
                 link.open()
             link.close()
+        # A broker's connection outlives any number of links: the engine must not keep them all.
+        link.free()
 
 
 async def serve_amqp(node: Node, listeners: Iterable[socket.socket], terms: AmqpTerms) -> None:
--- a/sailrun/connection.py
+++ b/sailrun/connection.py
@@ -47,7 +47,7 @@
     The buffer doubles when what is held fills it and is compacted in place when there is room in front.
     """
 
-    __slots__ = ("_buffer", "_end", "_most", "_start", "ended", "sock")
+    __slots__ = ("_buffer", "_end", "_most", "_passed", "_start", "ended", "sock")
 
     def __init__(self, sock: socket.socket, most: int = 2 * LONGEST_LINE) -> None:
         sock.setblocking(False)
@@ -56,17 +56,19 @@
         self.sock = sock
         self._buffer = bytearray(FIRST_SIZE)
         self._start = self._end = 0
+        self._passed = 0  # up to here `fresh` has shown what is held
         self._most = most
         self.ended = False  # the other side sends no more
 
     async def fill(self) -> bool:
         """Waits for more bytes; False once the other side has ended. A broken connection raises."""
         if self._start == self._end:
-            self._start = self._end = 0
+            self._start = self._end = self._passed = 0
         if self._end == len(self._buffer):
             if self._start:
                 held = self._end - self._start
                 self._buffer[:held] = self._buffer[self._start : self._end]
+                self._passed = max(0, self._passed - self._start)
                 self._start, self._end = 0, held
             elif len(self._buffer) >= self._most:
                 raise Overlong(f"over {self._most} bytes held")
@@ -86,6 +88,12 @@
     def held(self) -> int:
         return self._end - self._start
 
+    def fresh(self) -> bytes:
+        """What has come in since the last call; it stays held, so that its lines can still be taken."""
+        data = bytes(self._buffer[max(self._start, self._passed) : self._end])
+        self._passed = self._end
+        return data
+
     def take(self, count: int | None = None) -> bytes:
         """Takes the first bytes held, all of them if no count is given."""
         stop = self._end if count is None else min(self._end, self._start + count)
@@ -115,6 +123,15 @@
             except (BlockingIOError, InterruptedError):
                 await anyio.wait_writable(self.sock)
 
+    async def finish_sending(self) -> None:
+        """Ends this side's sending and reads the other side to its end, so that bytes still under way do
+        not break the connection before the last words are read. The caller's cancel scope bounds it.
+        """
+        self.sock.shutdown(socket.SHUT_WR)
+        self.take()
+        while await self.fill():
+            self.take()
+
     def close(self, abruptly: bool = False) -> None:
         """Ends the connection; abruptly, the other side sees it broken."""
         if self.sock.fileno() < 0:
--- a/sailrun/platform/households.py
+++ b/sailrun/platform/households.py
@@ -22,6 +22,9 @@
 FIRST_LINE_US = 10 * SECOND
 # A household is moved between two lines; a form server that leaves a line half said for so long is cut.
 HALF_LINE_US = SECOND // 2
+# What a household that got SYNTAX still sends is read and dropped for so long.
+LAST_WORDS_US = SECOND
+_REASONS = {Outcome.OK: "served", Outcome.CANCELLED: "sent-away"}
 
 
 class HouseholdConnection:
@@ -83,17 +86,17 @@
                     group.start_soon(self._hear_household)
                     await self._follow_orders()
                     group.cancel_scope.cancel()
-        except Overlong:
+        except* Overlong:
             self._reason = "line-too-long"
-        except OSError as error:
-            self._reason, self._broken = f"household-broke:{type(error).__name__}", True
+        except* OSError:
+            self._reason, self._broken = "household-broke", True
         finally:
             self._household.close(abruptly=self._broken)
             if self._form_server is not None:
                 self._form_server.close(abruptly=self._broken)
             self._orders.close()
             self._inbox.close()
-            if self._reason != "ping":
+            if self._reason != "ping":  # the front's own check of a node is no household
                 log(
                     "ended",
                     reason=self._reason,
@@ -109,8 +112,12 @@
         self._reason = "no-first-line"
         while True:
             line = None
-            with anyio.CancelScope(deadline=self._node.clock.moment(deadline_us)):
-                line = await self._household.line()
+            try:
+                with anyio.CancelScope(deadline=self._node.clock.moment(deadline_us)):
+                    line = await self._household.line()
+            except Overlong:
+                await self._say_syntax("line-too-long")
+                return False
             now_us = self._node.clock.now_us()
             if line is None:
                 return False
@@ -121,8 +128,7 @@
         try:
             opening = self._opening = parse_opening(line)
         except BadLine as error:
-            self._reason = f"bad-first-line:{error}"
-            await self._household.write(b"SYNTAX\r\n")
+            await self._say_syntax(f"bad-first-line:{error}")
             return False
         self._session = FormSession(
             id=f"{opening.id}.{now_us}",  # unique here even if a household repeats its id
@@ -139,6 +145,12 @@
         self._node.ask(self._session)
         return True
 
+    async def _say_syntax(self, reason: str) -> None:
+        self._reason = reason
+        await self._household.write(b"SYNTAX\r\n")
+        with anyio.CancelScope(deadline=self._node.clock.moment(self._node.clock.now_us() + LAST_WORDS_US)):
+            await self._household.finish_sending()
+
     async def _hear_household(self) -> None:
         """Passes on what the household sends, and notices that it leaves."""
         assert self._session is not None
@@ -179,9 +191,17 @@
                 return
 
     async def _try(self, placement: Placement) -> None:
-        """One attempt, and the form session if it stands. The connection is closed before the core hears
-        of an attempt's end, so that no two are ever out.
+        """One attempt, and the form session if it stands. Its connection is closed before the core hears of
+        its end, so that no two are ever out; and the core hears of it whatever happens.
         """
+        assert self._session is not None
+        outcome = Outcome.RESET
+        try:
+            outcome = await self._attempt_session(placement)
+        finally:
+            self._node.attempt_over(self._session, placement, outcome)
+
+    async def _attempt_session(self, placement: Placement) -> Outcome:
         assert self._session is not None
         self._at = placement.form_server.name
         server: Connection | None = None
@@ -205,9 +225,15 @@
             self._form_server = server
             self._reason = "unknown"
             self._node.placed(self._session, placement, took_us)
-            outcome = await self._stand(server)
+            try:
+                outcome = await self._stand(server)
+            except OSError:
+                # The household broke while a line was on its way to it. The core must hear of the end all
+                # the same, or it would count the session as standing for ever.
+                self._reason, self._broken = "household-broke", True
+                outcome = Outcome.CANCELLED
             server.close(abruptly=self._broken)
-        self._node.attempt_over(self._session, placement, outcome)
+        return outcome
 
     async def _set_up(self, placement: Placement, sent_us: int) -> tuple[Connection | None, Outcome]:
         """Opens a connection to the form server and asks for the session. Every way out but a form server
@@ -254,12 +280,13 @@
         assert self._session is not None
         if self._household.held():
             await self._pass_to_form_server()
-        tail = b""  # the start of a line whose end is still to come
         ending = Outcome.RESET
         if server.held():
-            tail, ending = await self._pass_to_household(server, tail, ending)
+            ending = await self._pass_to_household(server, ending)
         while True:
-            if self._moving_since_us and not tail:
+            half_said_us = self._moving_since_us + HALF_LINE_US
+            between = not server.held() or self._node.clock.now_us() >= half_said_us
+            if self._moving_since_us and between:
                 self._reason = "moved"
                 await self._household.write(b"MOVE\r\n")
                 return Outcome.CANCELLED
@@ -267,7 +294,7 @@
                 return Outcome.CANCELLED
             scope = anyio.CancelScope()
             if self._moving_since_us:
-                scope.deadline = self._node.clock.moment(self._moving_since_us + HALF_LINE_US)
+                scope.deadline = self._node.clock.moment(half_said_us)
             alive = None
             try:
                 with scope:
@@ -276,36 +303,30 @@
             except OSError:
                 self._reason, self._broken = "form-server-broke", True
                 return ending
+            except Overlong:
+                self._reason, self._broken = "form-server-line-too-long", True
+                return Outcome.ERROR
             finally:
                 self._reading = None
-            if alive is None:
-                if self._moving_since_us and self._node.clock.now_us() > self._moving_since_us + HALF_LINE_US:
-                    tail = b""
-                continue
-            if not alive:
-                self._reason = {Outcome.OK: "served", Outcome.CANCELLED: "sent-away"}.get(
-                    ending, "form-server-ended"
-                )
+            if alive:
+                ending = await self._pass_to_household(server, ending)
+            elif alive is not None:
+                self._reason = _REASONS.get(ending, "form-server-ended")
                 return ending
-            tail, ending = await self._pass_to_household(server, tail, ending)
 
-    async def _pass_to_household(
-        self, server: Connection, tail: bytes, ending: Outcome
-    ) -> tuple[bytes, Outcome]:
+    async def _pass_to_household(self, server: Connection, ending: Outcome) -> Outcome:
+        """Passes on what has come in, then reads its lines; the start of one stays in the buffer."""
         assert self._session is not None
-        data = server.take()
+        await self._household.write(server.fresh())
         self._node.heard(self._session)
-        lines = (tail + data).splitlines(keepends=True)
-        tail = lines.pop() if lines and not lines[-1].endswith(b"\n") else b""
-        for line in lines:
+        while (line := server.take_line()) is not None:
             ending = ENDINGS.get(word_of(line), Outcome.RESET)
             load = load_told(line)
             if load is not None:
                 self._node.told_load(self._session, load)
             elif ending is Outcome.RESET:
                 self._node.answered(self._session)
-        await self._household.write(data)
-        return tail[: 2 * 4096], ending
+        return ending
 
 
 async def serve_households(node: Node, listeners: Iterable[socket.socket], groups: bool) -> None:
