Answer newcomers for a second after SIGTERM however short the deadlines are

_send_away in node/core.py reckoned the time to stop accepting back from the stop, as if that always lay 3 s ahead; with a longest deadline of 1.2 s and nobody standing the node left at once, while households still come for up to 0.4 s. It now reckons from the signal. The test of it found another: the log said `serving` before the signal was caught, so a SIGTERM in that moment killed the node outright. The signal's task is now ready first.

--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -68,7 +68,7 @@
         aims = [c.message_objective_us for c in settings.classes if c.message_objective_us > 0]
         self._slow_us = min(aims) / 3 if aims else 0.0
         self._known = known
-        self._stop_us = self._moves_until_us = 0
+        self._asked_to_leave_us = self._stop_us = self._moves_until_us = 0
         self._stopped = anyio.Event()
 
     # ------------------------------------------------------------------ what others tell
@@ -384,6 +384,7 @@
             return
         longest_us = min(LONGEST_US, max(c.deadline_us for c in self.settings.classes))
         self.leaving = True
+        self._asked_to_leave_us = self._now
         self._stop_us = self._now + longest_us
         self._moves_until_us = self._now + int(MOVES_SHARE * longest_us)
         log("leaving", sessions=len(self._standing()), within_ms=longest_us // 1000)
@@ -406,7 +407,7 @@
                     session.household.fail()
                 else:
                     session.household.refuse(0)
-        accepting_over = self._now >= self._stop_us - LONGEST_US + STOP_ACCEPTING_US
+        accepting_over = self._now >= self._asked_to_leave_us + STOP_ACCEPTING_US
         moved = all(not w.sessions for w in self._watches.values())
         if (accepting_over and moved and not waiting) or self._now >= self._stop_us + SECOND // 5:
             self._stopped.set()
--- a/sailrun/serve.py
+++ b/sailrun/serve.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+from anyio.abc import TaskStatus
 
 from sailrun.config import EnvoyFiles, EnvoyRest, NodeConfig, ServerRoster
 from sailrun.connection import listen, show_address
@@ -19,8 +20,9 @@
     from sailrun.xds.rosters import EnvoyRoster
 
 
-async def _leave_when_told(node: Node) -> None:
+async def _leave_when_told(node: Node, *, task_status: TaskStatus[None]) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        task_status.started()  # nothing is served before this: a SIGTERM would kill outright
         async for _ in signals:
             node.leave()
 
@@ -47,7 +49,7 @@
     households = [listen(config.listen)] if config.listen is not None else []
     amqp_households = [listen(config.amqp.listen)] if config.amqp is not None else []
     async with anyio.create_task_group() as group:
-        group.start_soon(_leave_when_told, node)
+        await group.start(_leave_when_told, node)
         group.start_soon(roster.run)
         group.start_soon(serve_households, node, households, config.groups)
         if config.amqp is not None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from tests.stand_ins import PATIENCE_S, FormServer, Roster, node
+from tests.stand_ins import PATIENCE_S, SETTINGS, FormServer, Roster, node
 
 
 @pytest.fixture
@@ -111,6 +111,19 @@
         assert sum("reason=moved" in line for line in running.lines) == 4
 
 
+def test_newcomers_are_answered_after_sigterm_however_short_the_deadlines(
+    tmp_path: Path, roster: Roster
+) -> None:
+    services = [{**service, "deadlineUs": 1_200_000} for service in SETTINGS["services"]]
+    with node(tmp_path, roster, settings={**SETTINGS, "services": services}) as running:
+        running.terminate()
+        began = time.monotonic()
+        running.logged("leaving")
+        # They come for up to 0.4 s; with nobody standing the node once left before the first of them.
+        assert running.process.wait(PATIENCE_S) == 0
+        assert time.monotonic() - began > 0.4
+
+
 def test_the_node_survives_running_out_of_descriptors(tmp_path: Path, roster: Roster) -> None:
     def few() -> None:
         resource.setrlimit(resource.RLIMIT_NOFILE, (32, 32))
