Take set-up times as the sign of a crowd; a lone reset is none; move after newcomers stop

Where a process did die, its resets came over several ticks, and the last alone was not enough to eject it, while its limit fell to nothing and stayed there.

Now: two resets within a second are a sign, one is not, and what breaks within a second broke together; a first failed connect beside standing sessions sends the request on and ejects nobody; set-ups that take longer than usual by half the message aim mark a crowd (_timed), and with room elsewhere relief takes what is over the fair load. After SIGTERM moves begin once newcomers no longer come here (0.45 s): those moved earlier came straight back.

--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from collections.abc import Iterator
 from random import Random
 
@@ -38,6 +39,10 @@
 CLASS_NOTES = 200
 # Delay notes come about once a second; one older than this says nothing any more.
 NOTE_US = 2_500_000
+# Connections that break within so long broke for one reason: sockets tell of them one after another.
+BURST_US = 1 * SECOND
+# What a set-up usually takes: the lower quarter of so many latest ones, once there are a few.
+LATEST_TOOK, FEW_TOOK = 64, 8
 # Bounded loads: a backend admits up to this multiple of its fair share, some roots of it and connections.
 BOUND, BOUND_ROOT, BOUND_MORE = 1.15, 1.0, 1.0
 # A crowded backend's limit: at most one cut in so long, to this share; its growth a second.
@@ -83,7 +88,9 @@
         self.ejected_until = self.ejections = self.strikes = 0
         self.trial = False  # ejected before; not yet seen to work again
         self.delay_ms = 0.0
-        self.delay_us = self.resets = self.resets_us = 0
+        self.resets = 0
+        self.delay_us = self.resets_us = self.missed_us = -NOTE_US
+        self.late_ms, self.late_us = 0.0, 0  # how much longer than usual set-ups take here
         self.limit, self.limit_us = math.inf, -LIMIT_US  # on this relay's load there, learned from crowding
         self.cold_from_us = -1  # start of its warm-up; -1: warm
         self.tokens = 0.0
@@ -128,6 +135,7 @@
         self._load, self._count, self._capacity = 0.0, 0, 0.0
         self._pace, self._pace_tokens = 0.0, 1.0  # set-ups a second; 0: not limited
         self._pace_us = self._slowed_us = now_us
+        self._took: deque[int] = deque(maxlen=LATEST_TOOK)  # what the latest set-ups took
         self._setup_us = 0.0  # moving mean of what a set-up takes
         self._succeeding = 1.0  # moving share of set-ups that succeed, failed connects left out
         self._sends, self._sent_us = 0.0, now_us  # sends in about the last USUAL_US
@@ -538,6 +546,29 @@
         server.pending -= 1
         server.open[request.id] = request
         self._recovered(server)
+        self._timed(server, event.latency_us)
+
+    def _timed(self, server: _Server, took_us: int) -> None:
+        """Set-ups queue behind the same work as messages: what one takes beyond the usual, a message waits
+        there too. On sockets no delay note tells of it, and what was moved off only comes to better where
+        another backend is not crowded.
+        """
+        self._took.append(took_us)
+        usual_us = sorted(self._took)[len(self._took) // 4]
+        late_ms = max(0, took_us - usual_us) / 1000
+        known_ms = server.late_ms if self._now - server.late_us < NOTE_US else 0.0
+        server.late_ms, server.late_us = (known_ms + late_ms) / 2, self._now
+        told = self._now - server.delay_us < SECOND
+        if server.late_ms <= self._aim_ms / 2 or told or len(self._took) < FEW_TOOK:
+            return
+        room = any(
+            s is not server and self._healthy(s) and not self._crowded(s, 0.5) and self._bounded(s, 0.0)
+            for s in self._ready
+        )
+        server.delay_ms = server.late_ms if room else min(server.late_ms, 0.9 * self._aim_ms)
+        server.delay_us = self._now
+        self._lower(server)
+        self._relieve(server, room)
 
     def _ended(self, event: i.AttemptEnded) -> None:
         request = self._requests.get(event.request)
@@ -589,7 +620,9 @@
         if outcome is i.Outcome.OK:
             self._recovered(server)
         elif outcome is i.Outcome.CONNECT_FAILED:
-            self._eject(server, "does not accept connections")
+            if not server.open or self._now - server.missed_us < SECOND:
+                self._eject(server, "does not accept connections")
+            server.missed_us = self._now  # once, beside connections that stand, is chance
         elif outcome is i.Outcome.TIMED_OUT and not stood:
             server.strikes += 1
             self._strain(server)
@@ -598,13 +631,15 @@
         elif outcome is i.Outcome.REJECTED:
             self._strain(server)
         elif outcome is i.Outcome.RESET:
-            if server.resets_us != self._now:
-                server.resets, server.resets_us = 0, self._now
-            server.resets += 1
+            if self._now - server.resets_us > BURST_US:
+                server.resets = 0
+            server.resets, server.resets_us = server.resets + 1, self._now
             if not server.open and server.resets >= 2:
                 # every connection of this relay broke at once: the process is gone, whatever the list says
                 self._eject(server, "broke all its connections")
-            else:
+                server.limit, server.delay_ms = math.inf, 0.0  # and what crowded it with it
+            elif server.resets >= 2 or self._crowded(server, 0.0):
+                # One that breaks alone, where messages take no long time, is no sign of a crowd.
                 self._strain(server)
 
     def _strain(self, server: _Server) -> None:
@@ -678,16 +713,23 @@
             self._load += load - request.load
         request.load = load
 
-    def _relieve(self, server: _Server) -> None:
+    def _relieve(self, server: _Server, room: bool = False) -> None:
         """Moves connections off a backend whose messages miss the objective. Every relay hears of the
-        delay and moves the same share of its own, lowest score first, so that relays pick the same groups.
+        delay and moves the same share of its own, or what is over its fair load there if there is room
+        elsewhere: first those that score higher elsewhere by now, then the lowest score, so that relays
+        pick the same groups.
         In a full fleet those moved are refused until there is room, so that the rest are served.
         """
         if not self._crowded(server, MOVE_AT):
             return
-        excess = server.load * MOVE_SHARE
-        by_score = sorted(server.open.values(), key=lambda r: (server.hash * r.hash) & MASK)
-        for request in by_score:
+        excess = max(server.load * MOVE_SHARE, server.load - self._fair(server) if room else 0.0)
+        hashes = [s.hash for s in self._ready if s.ejected_until <= self._now]
+
+        def keeps(request: _Request) -> tuple[bool, int]:
+            score = (server.hash * request.hash) & MASK
+            return room and score >= max((h * request.hash) & MASK for h in hashes), score
+
+        for request in sorted(server.open.values(), key=keeps):
             if excess <= request.load * self._random.random():
                 break
             excess -= request.load
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -26,7 +26,10 @@
 PULSE_US = 10 * SECOND
 # A planned restart: the platform kills no earlier than the longest deadline, taken as 3 s at most, plus
 # 0.7 s after it has asked. New households come for up to 0.4 s more.
-LONGEST_US, MOVES_SHARE, STOP_ACCEPTING_US = 3 * SECOND, 0.55, 1 * SECOND
+LONGEST_US, STOP_ACCEPTING_US = 3 * SECOND, 1 * SECOND
+# The shares of that time in which the moves begin and end. Whoever is moved while newcomers still come here
+# comes straight back, and has to be moved once more: so none before that is over.
+MOVES_BEGIN, MOVES_END = 0.15, 0.7
 
 
 class Roster(Protocol):
@@ -68,7 +71,7 @@
         aims = [c.message_objective_us for c in settings.classes if c.message_objective_us > 0]
         self._slow_us = min(aims) / 3 if aims else 0.0
         self._known = known
-        self._asked_to_leave_us = self._stop_us = self._moves_until_us = 0
+        self._asked_to_leave_us = self._stop_us = self._moves_from_us = self._moves_until_us = 0
         self._stopped = anyio.Event()
 
     # ------------------------------------------------------------------ what others tell
@@ -390,7 +393,8 @@
         self.leaving = True
         self._asked_to_leave_us = self._now
         self._stop_us = self._now + longest_us
-        self._moves_until_us = self._now + int(MOVES_SHARE * longest_us)
+        self._moves_from_us = self._now + int(MOVES_BEGIN * longest_us)
+        self._moves_until_us = self._now + int(MOVES_END * longest_us)
         log("leaving", sessions=len(self._standing()), within_ms=longest_us // 1000)
 
     def _standing(self) -> list[FormSession]:
@@ -398,7 +402,7 @@
 
     def _send_away(self) -> None:
         """The moves are spread, so that the households do not all knock at the neighbours at once."""
-        standing = self._standing()
+        standing = self._standing() if self._now >= self._moves_from_us else []
         sweeps = max(1, (self._moves_until_us - self._now) // SWEEP_US)
         for session in standing[: math.ceil(len(standing) / sweeps)]:
             session.moving = True
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -100,12 +100,15 @@
     with node(tmp_path, roster) as running:
         standing = [running.ask(f"{n:016x}") for n in range(3)]
         assert [h.hear() for h in standing] == ["UP r1"] * 3
+        left = time.monotonic()
         running.terminate()
         running.logged("leaving")
         late = running.ask("late")  # households still come for a moment, and are still served
         assert late.hear() == "UP r1"
         for household in (*standing, late):
             assert household.hear() == "MOVE"
+            # Moved any earlier they would come back here, as newcomers still do, and be moved again.
+            assert time.monotonic() - left > 0.4
             assert household.hear() == ""
         assert running.process.wait(PATIENCE_S) == 0
         assert sum("reason=moved" in line for line in running.lines) == 4
