Move households off a draining form server over the drain grace, not all at once

The log has 36 sessions moved within 20 ms of the drain's news, onto three form servers that then carried 1.3 to 1.4 cores' work each, while the one that took the leaver's place was listed 0.7 s later and stayed nearly empty.

Cause: _state in decide.py moved everything the moment the drain was told. Form servers sent nobody away themselves. Now each connection has a timer within nine tenths of drainGraceUs; the rule on new sends is as before.

--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -47,8 +47,8 @@
 BOUND, BOUND_ROOT, BOUND_MORE = 1.15, 1.0, 1.0
 # A crowded backend's limit: at most one cut in so long, to this share; its growth a second.
 LIMIT_US, LIMIT_CUT, LIMIT_GROWTH = 900_000, 0.85, 0.1
-# From this multiple of the shortest message objective on, this share of the connections moves a second.
-MOVE_AT, MOVE_SHARE = 1.0, 0.2
+# From this multiple of the shortest aim on, this share moves a second; at a drain, all by this of the grace.
+MOVE_AT, MOVE_SHARE, MOVE_BY = 1.0, 0.2, 0.9
 # Congestion control: how often the pace falls, its fall, its least in sends a second, its growth a second,
 # the time over which the usual rate is taken, and the multiple of it at which the pace is free again.
 PACE_US, PACE_CUT, PACE_MIN, PACE_GROWTH, USUAL_US, PACE_FREE = 250_000, 0.6, 1.0, 0.6, 10 * SECOND, 20.0
@@ -136,6 +136,7 @@
         self._requests: dict[str, _Request] = {}
         self._held: dict[str, _Request] = {}
         self._pump_set = self._follow_set = False
+        self._token, self._moves = FOLLOW, dict[int, str]()  # who leaves a draining backend, by timer
         self._load, self._count, self._capacity = 0.0, 0, 0.0
         self._pace, self._pace_tokens = 0.0, 1.0  # set-ups a second; 0: not limited
         self._pace_us = self._slowed_us = now_us
@@ -213,8 +214,12 @@
     def _state(self, server: _Server, state: i.BackendState) -> None:
         if server.state is i.BackendState.READY and state is not i.BackendState.READY:
             server.told_us = self._now
-            # Its households move before it leaves; those that it sends away itself have gone already.
-            self._out += [i.MoveConnection(name) for name in server.open]
+            # Its households move before it leaves, spread over the grace: at once they would crowd the rest.
+            for name in server.open:
+                self._token += 1
+                self._moves[self._token] = name
+                wait_us = MOVE_BY * self._set.drain_grace_us * self._random.random()
+                self._out.append(i.SetTimer(1 + int(wait_us), self._token))
         server.state = state
 
     def _follow(self) -> None:
@@ -596,9 +601,8 @@
         elif stood or event.outcome is i.Outcome.CANCELLED or not self._repeatable(request):
             self._finish(request)
         else:
-            if server.trial:
-                pass  # what an ejected one still answers says nothing of the others
-            elif event.outcome in (i.Outcome.ERROR, i.Outcome.TIMED_OUT, i.Outcome.REJECTED):
+            failed = event.outcome in (i.Outcome.ERROR, i.Outcome.TIMED_OUT, i.Outcome.REJECTED)
+            if failed and not server.trial:  # what an ejected one answers says nothing of the others
                 self._succeeding *= 0.9
                 slow = self._setup_us > SLOW * request.cls.objective_us
                 if self._succeeding < (0.7 if slow else 0.3):
@@ -760,6 +764,8 @@
         if token == PUMP and self._pump_set:
             self._pump_set = False
             self._pump()
+        elif (leaving := self._requests.get(self._moves.pop(token, ""))) is not None and leaving.opened:
+            self._out.append(i.MoveConnection(leaving.id))
         elif token == FOLLOW and self._follow_set:
             self._follow_set = False
             self._out.append(i.Subscribe())
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -424,5 +424,23 @@
     assert relay.sent_to(relay.ask(key=next(keys))) != place
 
 
+def test_what_stands_on_a_draining_backend_is_moved_bit_by_bit_within_the_grace() -> None:
+    # All at once crowded the others, before the one that took its place was listed.
+    relay = relay_with(400)
+    leaving = busiest(relay)
+    here = [n for n, a in relay.attempts.items() if a.backend == leaving]
+    began = relay.now
+    relay.feed(delta(backend(leaving, 2)))
+    moved: list[str] = []
+    while relay.now < began + relay.settings.drain_grace_us:
+        new = [
+            a.request for a in relay.took(i.MoveConnection)[len(moved) :] if isinstance(a, i.MoveConnection)
+        ]
+        assert len(new) <= len(here) // 3
+        moved += new
+        relay.advance(50_000)
+    assert sorted(moved) == sorted(here)
+
+
 def top(key: str) -> int:
     return max(FLEET, key=lambda b: (decide.server_hash(b) * decide.key_hash(key)) & decide.MASK)
