--- a/sailrun/cli.py
+++ b/sailrun/cli.py
@@ -11,6 +11,7 @@
 import typer
 
 from sailrun.config import BadConfig, NodeConfig, read_node_config
+from sailrun.lab.cli import app as lab_app
 
 app = typer.Typer(
     help="A node that places census form sessions on form servers.",
@@ -20,6 +21,7 @@
 
 config_app = typer.Typer(help="Write and check a sidecar's file.")
 app.add_typer(config_app, name="config")
+app.add_typer(lab_app, name="lab")
 
 ConfigPath = Annotated[
     Path | None, typer.Option("--config", envvar="RELAY_CONFIG", help="The platform's JSON.")
--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 import math
+from array import array
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Sequence
 from random import Random
 
 import mmh3
@@ -20,7 +21,7 @@
 
 SERVER_SEED = 165233
 KEY_SEED = 845219
-MASK = 0xFFFFFFFF
+MASK, LANE = 0xFFFFFFFF, 8
 SECOND = 1_000_000
 
 # The tokens of the instance's timers.
@@ -132,7 +133,7 @@
         self._aim_ms = min(aims) / 1_000 if aims else 0.0
         self._servers: dict[int, _Server] = {}
         self._ready: list[_Server] = []  # listed ready, by id
-        self._hashes: list[int] = []  # their hashes, in the same order
+        self._hashes = self._lanes = 0  # their hashes in the same order, and MASK, in lanes of 64 bits
         self._requests: dict[str, _Request] = {}
         self._held: dict[str, _Request] = {}
         self._pump_set = self._follow_set = False
@@ -150,29 +151,37 @@
         self._class_load: dict[str, tuple[float, int]] = {}  # mean told load and notes it rests on
         self._list_failures = 0
         self._out: list[i.Action] = []
+        self._handlers: dict[type, Callable[..., None]] = {
+            i.RequestArrived: self._arrived, i.ConnectionOpened: self._stands, i.AttemptEnded: self._ended,
+            i.AttemptNotice: self._notice, i.ListUpdate: self._listed, i.TimerFired: self._timer,
+            i.ClientLeft: self._left, i.ConnectionResumed: self._resumed,
+        }  # fmt: skip
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
         """Takes one event; returns what to do, in order."""
         self._now = max(self._now, now_us)
         self._out = []
-        if isinstance(event, i.RequestArrived):
-            self._arrived(event)
-        elif isinstance(event, i.ConnectionOpened):
-            self._stands(event)
-        elif isinstance(event, i.AttemptEnded):
-            self._ended(event)
-        elif isinstance(event, i.AttemptNotice):
-            self._notice(event)
-        elif isinstance(event, i.ListUpdate):
-            self._listed(event)
-        elif isinstance(event, i.TimerFired):
-            self._timer(event.token)
-        elif isinstance(event, i.ClientLeft):
-            self._left(event.request)
-        elif isinstance(event, i.ConnectionResumed):
-            self._resumed(event)
+        if (handler := self._handlers.get(type(event))) is not None:
+            handler(event)
         return self._out
 
+    def elsewhere(self, now_us: int, names: Sequence[str]) -> int | None:
+        """The warm backend that these standing connections of one key, which share one backend, would get
+        if they came now; None if there is no other.
+        """
+        self._now = max(self._now, now_us)
+        ones = [r for r in map(self._requests.get, names) if r is not None and r.opened and r.at is not None]
+        if not ones or (holder := ones[0].at) is None:
+            return None
+        newcomer = _Request("", ones[0].cls, ones[0].hash, 0)
+        newcomer.client, newcomer.load = ones[0].client, sum(r.load for r in ones)
+        for request in ones:
+            self._weigh(request, holder, -1.0)
+        place = self._choose(newcomer)
+        for request in ones:
+            self._weigh(request, holder, 1.0)
+        return place.id if place not in (None, holder) and place.cold_from_us < 0 else None
+
     # ------------------------------------------------------------------ the backend list
 
     def _listed(self, event: i.ListUpdate) -> None:
@@ -182,9 +191,8 @@
             return
         if event.kind is not i.ListKind.CACHED:
             self._list_failures = 0
-        named = set()
+        named = {entry.id for entry in event.backends}
         for entry in event.backends:
-            named.add(entry.id)
             self._entry(entry)
         if event.kind is not i.ListKind.DELTA:
             for server in self._servers.values():
@@ -192,7 +200,10 @@
                     self._state(server, i.BackendState.GONE)
         ready = [s for s in self._servers.values() if s.state is i.BackendState.READY]
         self._ready = sorted(ready, key=lambda s: s.id)
-        self._hashes = [s.hash for s in self._ready]
+        self._hashes = int.from_bytes(
+            b"".join(s.hash.to_bytes(LANE, "little") for s in self._ready), "little"
+        )
+        self._lanes = int.from_bytes(MASK.to_bytes(LANE, "little") * len(self._ready), "little")
         self._recount()
         if event.kind is i.ListKind.CACHED:
             self._follow()
@@ -264,12 +275,12 @@
             known = self._class_load.get(request.cls.name)
             request.load = known[0] if known else self._unit()
 
-    def _left(self, name: str) -> None:
-        request = self._requests.get(name)
+    def _left(self, event: i.ClientLeft) -> None:
+        request = self._requests.get(event.request)
         if request is not None:
-            self._held.pop(name, None)
+            self._held.pop(request.id, None)
             if request.at is None:
-                del self._requests[name]
+                del self._requests[request.id]
             else:
                 request.deadline_us = -1  # over; its attempt's outcome is still to come
 
@@ -317,12 +328,8 @@
     def _choose(self, request: _Request) -> _Server | None:
         if request.mid_flow and request.attempts == 0:
             return self._holder(request)
-        k, ready = request.hash, self._ready
-        if not ready:
-            return None
-        scores = [(h * k) & MASK for h in self._hashes]
         spare = last = None
-        for server in self._order(request, scores):
+        for server in self._order(request):
             if not self._may(request, server):
                 continue
             if not self._healthy(server):
@@ -338,7 +345,12 @@
         # healthy in reach, as when this relay's own link is cut, the best ejected one is tried after all.
         return spare or (last if self._capacity <= 0 else None)
 
-    def _order(self, request: _Request, scores: list[int]) -> Iterator[_Server]:
+    def _scores(self, k: int) -> array[int]:
+        """One product gives all scores: no product of two 32-bit hashes leaves its lane."""
+        lanes = (self._hashes * k) & self._lanes
+        return array("q", lanes.to_bytes(LANE * len(self._ready), "little"))
+
+    def _order(self, request: _Request) -> Iterator[_Server]:
         """The best scores, highest first. A group whose load here makes up several fair loads is heavier
         than a backend: its connections spread over as many of its best scores, each by its own client key.
         """
@@ -347,18 +359,14 @@
             fair = SPREAD * self._load / max(1, len(self._ready))
             spread = 1 + int(max(0.0, self._groups.get(request.hash, 0.0) - self._unit() / 2) / fair)
         first: list[_Server] = []
+        scores = self._scores(request.hash)
         for _ in range(min(DEPTH, len(scores))):
             n = scores.index(max(scores))  # the lowest id among equal scores
             scores[n] = -1
-            if len(first) < spread - 1:
-                first.append(self._ready[n])
-                continue
-            if spread > 1:
-                first.append(self._ready[n])
+            first.append(self._ready[n])
+            if len(first) >= spread:
                 yield from sorted(first, key=lambda s: (-((s.hash * request.client) & MASK), s.id))
                 first, spread = [], 1
-                continue
-            yield self._ready[n]
         yield from sorted(first, key=lambda s: (-((s.hash * request.client) & MASK), s.id))
 
     def _last_look_us(self, request: _Request) -> int:
@@ -419,12 +427,8 @@
         first = request.ran_at
         if first is None or request.cls.effect is i.Effect.IDEMPOTENT:
             return True
-        scope = request.cls.dedup_scope
-        return (
-            scope is i.DedupScope.ALL
-            or (scope is i.DedupScope.ZONE and server.zone == first.zone)
-            or (scope is i.DedupScope.CELL and server.cell == first.cell)
-        )
+        inside = {i.DedupScope.ZONE: server.zone == first.zone, i.DedupScope.CELL: server.cell == first.cell}
+        return inside.get(request.cls.dedup_scope, True)
 
     # ------------------------------------------------------------------ gates
 
@@ -436,18 +440,16 @@
 
     def _crowded(self, server: _Server, share: float) -> bool:
         """Acts while messages there take over this share of the shortest objective."""
-        return (
-            server.delay_ms > max(self._aim_ms, 1.0) * share * 0.999 and self._now - server.delay_us < NOTE_US
-        )
+        fresh = self._now - server.delay_us < NOTE_US
+        return fresh and server.delay_ms > max(self._aim_ms, 1.0) * share * 0.999
 
     def _bounded(self, server: _Server, load: float) -> bool:
         """Bounded loads. Acts when this relay's own load there is far over its fair share. The root
         leaves room for chance where a relay sees only a few of a backend's connections.
         """
         fair, unit = self._fair(server), self._unit()
-        return (
-            server.load + load / 2 <= BOUND * fair + BOUND_ROOT * math.sqrt(fair * unit) + BOUND_MORE * unit
-        )
+        most = BOUND * fair + BOUND_ROOT * math.sqrt(fair * unit) + BOUND_MORE * unit
+        return server.load + load / 2 <= most
 
     def _below_limit(self, server: _Server, load: float) -> bool:
         """Acts after a backend was crowded, until its limit has grown past this relay's load there."""
@@ -622,9 +624,8 @@
             self._out.append(i.Fail(request.id))
 
     def _retry_after(self) -> int:
-        if not self._set.retry_after:
-            return 0
-        return int(self._set.max_retry_after_us * (0.25 + 0.75 * self._random.random()))
+        longest_us = self._set.max_retry_after_us * (0.25 + 0.75 * self._random.random())
+        return int(longest_us) if self._set.retry_after else 0
 
     # ------------------------------------------------------------------ health
 
@@ -760,7 +761,8 @@
             self._pump_set = True
             self._out.append(i.SetTimer(PUMP_US, PUMP))
 
-    def _timer(self, token: int) -> None:
+    def _timer(self, event: i.TimerFired) -> None:
+        token = event.token
         if token == PUMP and self._pump_set:
             self._pump_set = False
             self._pump()
--- /dev/null
+++ b/sailrun/lab/chance.py
@@ -0,0 +1,52 @@
+"""Chance, in streams of their own: what one part of a world draws moves nothing in the others."""
+
+from __future__ import annotations
+
+import math
+import zlib
+
+import numpy as np
+
+_BLOCK = 1024
+
+
+class Stream:
+    """Numbers of one purpose, from the library's generator, drawn in blocks."""
+
+    def __init__(self, seed: int, purpose: str) -> None:
+        sequence = np.random.SeedSequence([seed, zlib.crc32(purpose.encode())])
+        self._generator = np.random.Generator(np.random.PCG64(sequence))
+        self._uniform: list[float] = []
+        self._normal: list[float] = []
+
+    def random(self) -> float:
+        if not self._uniform:
+            self._uniform = self._generator.random(_BLOCK).tolist()
+        return self._uniform.pop()
+
+    def between(self, bounds: tuple[float, float]) -> float:
+        return bounds[0] + (bounds[1] - bounds[0]) * self.random()
+
+    def whole(self, bounds: tuple[int, int]) -> int:
+        """A whole number from the first to the last of the bounds."""
+        return bounds[0] + int((bounds[1] - bounds[0] + 1) * self.random())
+
+    def below(self, count: int) -> int:
+        return int(count * self.random())
+
+    def exponential(self, mean: float) -> float:
+        return -mean * math.log(1.0 - self.random())
+
+    def lognormal(self, mean: float, sigma: float) -> float:
+        if not self._normal:
+            self._normal = self._generator.standard_normal(_BLOCK).tolist()
+        return mean * math.exp(sigma * self._normal.pop() - sigma * sigma / 2)
+
+    def pick(self, chances: tuple[float, ...]) -> int:
+        """An index, by its chance; the chances add up to 1."""
+        at = self.random()
+        for n, chance in enumerate(chances):
+            at -= chance
+            if at < 0:
+                return n
+        return len(chances) - 1
--- /dev/null
+++ b/sailrun/lab/checks.py
@@ -0,0 +1,142 @@
+"""The rules, watched from the world: nothing here believes a node."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from sailrun.lab.terms import SECOND
+
+# Every time limit is extended by this (the protocol's rules on sockets).
+SLACK_US = 50_000
+# Faults that are told in words; further ones are only counted.
+TOLD = 20
+REST_US = 60 * SECOND
+
+
+@dataclass(slots=True)
+class Check:
+    """One rule: how often it was broken, and the first few times in words."""
+
+    name: str
+    limit: float = 0.0
+    value: float = 0.0
+    faults: list[str] = field(default_factory=list)
+
+    @property
+    def holds(self) -> bool:
+        return self.value <= self.limit
+
+    def broken(self, at_us: int, what: str) -> None:
+        self.value += 1
+        if len(self.faults) < TOLD:
+            self.faults.append(f"{at_us / SECOND:.3f} s: {what}")
+
+
+@dataclass(slots=True)
+class _Request:
+    node: int
+    deadline_us: int
+    server: str = ""  # where its attempt is out
+
+
+class RuleBook:
+    """What a day is held to, and what has been seen of it so far."""
+
+    def __init__(self, begin_us: int, drain_grace_us: int) -> None:
+        self._begin_us, self._grace_us = begin_us, drain_grace_us
+        self._open: dict[str, _Request] = {}
+        self._told_us: dict[tuple[int, str], int] = {}  # when a node was told that a server drains or is gone
+        self.answer = Check("one-final-answer")
+        self.late = Check("answered-in-time")
+        self.attempt = Check("one-attempt-outstanding")
+        self.drain = Check("drains-kept")
+        self.cold = Check("no-cold-server-pushed-over")
+        self.lost = Check("nobody-lost")
+        self.twice = Check("nobody-rebalanced-twice-in-a-minute")
+        self.onto_cold = Check("no-move-onto-a-warming-server")
+
+    def all(self) -> list[Check]:
+        return [
+            self.answer,
+            self.late,
+            self.attempt,
+            self.drain,
+            self.cold,
+            self.lost,
+            self.twice,
+            self.onto_cold,
+        ]
+
+    # ------------------------------------------------------------------ requests
+
+    def asked(self, now_us: int, request: str, node: int, deadline_us: int) -> None:
+        self._open[request] = _Request(node, deadline_us)
+
+    def answered(self, now_us: int, request: str, answer: str) -> None:
+        known = self._open.pop(request, None)
+        if known is None:
+            self.answer.broken(now_us - self._begin_us, f"{request} got another answer: {answer}")
+        elif now_us > known.deadline_us + SLACK_US:
+            late_ms = (now_us - known.deadline_us) // 1000
+            self.late.broken(now_us - self._begin_us, f"{request}: {answer} {late_ms} ms late")
+
+    def given_up(self, request: str) -> None:
+        """The client left before its answer."""
+        self._open.pop(request, None)
+
+    def attempt_began(self, now_us: int, request: str, server: str) -> None:
+        known = self._open.get(request)
+        if known is None:
+            self.attempt.broken(now_us - self._begin_us, f"{request} sent to {server} after its answer")
+            return
+        if known.server:
+            self.attempt.broken(
+                now_us - self._begin_us, f"{request} sent to {server}, still out at {known.server}"
+            )
+        known.server = server
+        told_us = self._told_us.get((known.node, server))
+        if told_us is not None and now_us > told_us + self._grace_us + SLACK_US:
+            late_ms = (now_us - told_us) // 1000
+            self.drain.broken(
+                now_us - self._begin_us,
+                f"{request} sent to {server} {late_ms} ms after node {known.node} was told",
+            )
+
+    def attempt_ended(self, request: str) -> None:
+        known = self._open.get(request)
+        if known is not None:
+            known.server = ""
+
+    def node_gone(self, node: int) -> None:
+        """Killed outright: what it had taken is for the clients to repeat."""
+        self._open = {name: known for name, known in self._open.items() if known.node != node}
+        self._told_us = {key: at for key, at in self._told_us.items() if key[0] != node}
+
+    def end(self, now_us: int) -> None:
+        for request, known in self._open.items():
+            if now_us > known.deadline_us + SLACK_US:
+                self.answer.broken(now_us - self._begin_us, f"{request} at node {known.node} got no answer")
+
+    # ------------------------------------------------------------------ the rest
+
+    def told_leaving(self, now_us: int, node: int, server: str) -> None:
+        self._told_us.setdefault((node, server), now_us)
+
+    def told_serving(self, node: int, server: str) -> None:
+        self._told_us.pop((node, server), None)
+
+    def fell(self, now_us: int, server: str) -> None:
+        self.cold.broken(now_us - self._begin_us, f"{server} was pushed over")
+
+    def cut_off(self, now_us: int, request: str, server: str) -> None:
+        self.lost.broken(now_us - self._begin_us, f"{request} cut off without MOVE, {server} still answers")
+
+    def rebalanced(self, now_us: int, client: int, last_us: int) -> None:
+        if now_us - last_us < REST_US:
+            ago_s = (now_us - last_us) / SECOND
+            self.twice.broken(now_us - self._begin_us, f"client {client} moved again after {ago_s:.1f} s")
+
+    def arrived_cold(self, now_us: int, client: int, server: str) -> None:
+        self.onto_cold.broken(
+            now_us - self._begin_us, f"client {client}, moved, stands at {server}, still cold"
+        )
--- /dev/null
+++ b/sailrun/lab/cli.py
@@ -0,0 +1,225 @@
+"""`sailrun lab`: experiments from the command line. Libraries are loaded only once one is run."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated, Any
+
+import typer
+
+if TYPE_CHECKING:
+    from sailrun.lab.run import Request, Summary
+
+app = typer.Typer(help="Try real nodes in a world of stand-ins, and see what a change does.")
+
+OutOption = Annotated[Path, typer.Option(help="The folder for the records, the summary and the report.")]
+
+
+def _complain(error: object) -> typer.Exit:
+    print(f"sailrun: {error}", file=sys.stderr)
+    return typer.Exit(2)
+
+
+def _request(experiment: str, off: list[str] | None, **asked: Any) -> Request:
+    from sailrun.lab.experiments import EXPERIMENTS
+    from sailrun.lab.run import SUBSYSTEMS, Request
+
+    if experiment not in EXPERIMENTS:
+        raise _complain(f"NAME: '{experiment}' is none of {', '.join(EXPERIMENTS)}")
+    for name in off or ():
+        if name not in SUBSYSTEMS:
+            raise _complain(f"--off: '{name}' is none of {', '.join(SUBSYSTEMS)}")
+    ranges: dict[str, tuple[float, float]] = {
+        "form_servers": (2, 10_000),
+        "nodes": (1, 1_000),
+        "households": (1, 10_000_000),
+    }
+    ranges |= {"seconds": (1, 86_400), "utilization": (0, 1), "datagrams_lost": (0, 1)}
+    for option, (least, most) in ranges.items():
+        value = asked.get(option)
+        if value is not None and not least <= value <= most:
+            raise _complain(f"--{option.replace('_', '-')}: {value} is not from {least} to {most}")
+    if asked.get("utilization") == 0:
+        raise _complain("--utilization: 0 would be nobody at all")
+    return Request(experiment, off=frozenset(off or ()), **asked)
+
+
+@app.command("list")
+def list_() -> None:
+    """The experiments, and what happens in each."""
+    from sailrun.lab.experiments import EXPERIMENTS
+
+    for experiment in EXPERIMENTS.values():
+        terms = experiment.world()
+        size = f"{terms.form_servers} form servers, {terms.nodes} nodes, {terms.households} households"
+        print(f"{experiment.name:20} {experiment.about} ({size}, {terms.seconds:g} s)")
+
+
+FormServers = Annotated[int | None, typer.Option(help="How many form servers there are.")]
+Nodes = Annotated[int | None, typer.Option(help="How many nodes there are.")]
+HouseholdsOption = Annotated[int | None, typer.Option(help="Households standing at any time.")]
+Seconds = Annotated[float | None, typer.Option(help="How long the day is.")]
+Utilization = Annotated[float | None, typer.Option(help="The warm fleet's, by what stands; 0 to 1.")]
+Lost = Annotated[float | None, typer.Option(help="Share of the nodes' datagrams that is lost.")]
+Off = Annotated[list[str] | None, typer.Option(help="A subsystem that is left switched off.")]
+Driver = Annotated[str, typer.Option(help="virtual: simulated time.")]
+Terms = Annotated[Path | None, typer.Option(help="An operator's file whose terms the nodes get.")]
+
+
+@app.command("run")
+def run(
+    name: str,
+    out: OutOption,
+    driver: Driver = "virtual",
+    seed: Annotated[int, typer.Option(help="The same seed gives the same records.")] = 1,
+    form_servers: FormServers = None,
+    nodes: Nodes = None,
+    households: HouseholdsOption = None,
+    seconds: Seconds = None,
+    utilization: Utilization = None,
+    datagrams_lost: Lost = None,
+    off: Off = None,
+    operator: Terms = None,
+) -> None:
+    """Play one experiment. Exit 0 if every check holds, 1 if one does not."""
+    request = _request(
+        name,
+        off,
+        driver=driver,
+        seed=seed,
+        form_servers=form_servers,
+        nodes=nodes,
+        households=households,
+        seconds=seconds,
+        utilization=utilization,
+        datagrams_lost=datagrams_lost,
+        rebalance=_operators(operator),
+    )
+    if driver not in ("virtual",):
+        raise _complain(f"--driver: '{driver}' is not one of virtual")
+    from sailrun.lab.report import write_report
+    from sailrun.lab.run import play, write
+
+    try:
+        with _progress(name) as told:
+            summary, records = play(request, told)
+        write(out, summary, records)
+        write_report(out)
+    except OSError as error:
+        raise _complain(f"{out}: {error.strerror or error}") from None
+    _show(summary)
+    print(f"report: {out / 'report.html'}")
+    raise typer.Exit(0 if summary.holds else 1)
+
+
+def _operators(path: Path | None) -> Any:
+    if path is None:
+        return None
+    from sailrun.config import BadConfig
+    from sailrun.operator import read_operator
+
+    try:
+        return read_operator(path).rebalance
+    except BadConfig as error:
+        raise _complain(error) from None
+
+
+def _progress(name: str) -> Any:
+    """A context that takes the share done; a bar where there is a terminal, nothing elsewhere."""
+    from contextlib import contextmanager
+
+    @contextmanager
+    def shown() -> Any:
+        if not sys.stderr.isatty():
+            yield lambda share: None
+            return
+        from rich.console import Console
+        from rich.progress import Progress
+
+        with Progress(console=Console(stderr=True)) as bar:
+            task = bar.add_task(name, total=1.0)
+            yield lambda share: bar.update(task, completed=share)
+
+    return shown()
+
+
+def _show(summary: Summary) -> None:
+    for figure, value in summary.figures.items():
+        print(f"{figure:36} {'-' if value is None else format(value, '.6g')}")
+    for figure, cost in summary.cost.items():
+        print(f"{figure:36} {cost:g}")
+    for check in summary.checks:
+        shown = "none" if check.value is None else format(check.value, ".6g")
+        print(f"{'holds ' if check.holds else 'BROKEN'} {check.name}: {shown} (limit {check.limit:g})")
+        for fault in check.faults[:5]:
+            print(f"       {fault}")
+
+
+@app.command("compare")
+def compare(before: Path, after: Path) -> None:
+    """Two runs side by side, figure by figure; `report.html` of the second shows both."""
+    import msgspec
+
+    from sailrun.lab.report import write_report
+    from sailrun.lab.run import read_summary
+
+    try:
+        one, two = read_summary(before), read_summary(after)
+        write_report(after, before)
+    except OSError as error:
+        raise _complain(f"{error.filename or after}: {error.strerror or error}") from None
+    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+        raise _complain(f"summary.json: {error}") from None
+    print(f"{'':36} {before.name:>14} {after.name:>14}")
+    for figure in {**one.figures, **two.figures}:
+        values = [s.figures.get(figure) for s in (one, two)]
+        print(f"{figure:36} " + " ".join(f"{'-' if v is None else format(v, '.6g'):>14}" for v in values))
+
+
+@app.command("sweep")
+def sweep(
+    name: str,
+    seeds: Annotated[str, typer.Option(help="The first and the last seed, as 1..200.")],
+    out: Annotated[Path | None, typer.Option(help="A folder for `sweep.json`.")] = None,
+    workers: Annotated[int | None, typer.Option(help="Processes side by side.")] = None,
+    form_servers: FormServers = None,
+    nodes: Nodes = None,
+    households: HouseholdsOption = None,
+    seconds: Seconds = None,
+    utilization: Utilization = None,
+    datagrams_lost: Lost = None,
+    off: Off = None,
+    against: Annotated[str | None, typer.Option(help="A subsystem: every seed also without it.")] = None,
+    operator: Terms = None,
+) -> None:
+    """Play an experiment for many seeds. Exit 0 if every check of every seed holds."""
+    from sailrun.lab.sweep import sweep as play_all
+
+    first, dots, last = seeds.partition("..")
+    if not dots or not (first.isdigit() and last.isdigit()) or int(first) > int(last):
+        raise _complain(f"--seeds: '{seeds}' is no range such as 1..200")
+    request = _request(
+        name,
+        off,
+        form_servers=form_servers,
+        nodes=nodes,
+        households=households,
+        seconds=seconds,
+        utilization=utilization,
+        datagrams_lost=datagrams_lost,
+        rebalance=_operators(operator),
+    )
+    if against is not None:
+        _request(name, [against])  # is it one?
+    try:
+        with _progress(name) as told:
+            result = play_all(request, range(int(first), int(last) + 1), workers, against, told)
+        if out is not None:
+            out.mkdir(parents=True, exist_ok=True)
+            (out / "sweep.json").write_bytes(result.as_json())
+    except OSError as error:
+        raise _complain(f"{out}: {error.strerror or error}") from None
+    for line in result.lines():
+        print(line)
+    raise typer.Exit(0 if not result.broken else 1)
--- /dev/null
+++ b/sailrun/lab/experiments.py
@@ -0,0 +1,110 @@
+"""The experiments: what a day looks like, what goes wrong in it, and what must come of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from sailrun.lab.form_servers import FormServerModel
+from sailrun.lab.terms import SECOND, WorldTerms
+from sailrun.lab.virtual import VirtualDay
+
+Script = Callable[[VirtualDay], None]
+Holders = Callable[[Sequence[FormServerModel]], Sequence[FormServerModel]]
+
+
+def _everybody(servers: Sequence[FormServerModel]) -> Sequence[FormServerModel]:
+    return servers
+
+
+def _a_third(servers: Sequence[FormServerModel]) -> Sequence[FormServerModel]:
+    return servers[: max(1, round(len(servers) / 3))]
+
+
+def _nothing(day: VirtualDay) -> None:
+    pass
+
+
+def _picked(day: VirtualDay, share: float, least: int = 1) -> list[FormServerModel]:
+    """Some form servers, by the seed."""
+    servers = list(day.servers.values())
+    count = max(least, round(share * len(servers)))
+    return [servers.pop(day.luck.below(len(servers))) for _ in range(min(count, len(servers) - 1))]
+
+
+def _outage(day: VirtualDay) -> None:
+    """A fifth vanishes and comes back cold; all of it within half a minute."""
+    for server in _picked(day, 0.2):
+        day.time.after(5 * SECOND, day.vanish, server, day.luck.whole((11 * SECOND, 20 * SECOND)))
+
+
+def _everything(day: VirtualDay) -> None:
+    """Each trouble once, at times and places by the seed: what the rules have to stand."""
+    luck = day.luck
+    server, other, third = (_picked(day, 0.0)[0] for _ in range(3))
+    day.time.after(luck.whole((2 * SECOND, 8 * SECOND)), day.vanish, server, 12 * SECOND)
+    if other is not server:
+        day.time.after(luck.whole((3 * SECOND, 20 * SECOND)), day.drain, other, 6 * SECOND)
+    if third not in (server, other):
+        day.time.after(luck.whole((3 * SECOND, 30 * SECOND)), day.crash, third, 4 * SECOND)
+    day.time.after(luck.whole((5 * SECOND, 30 * SECOND)), day.drop, 0.3, 2 * SECOND)
+    day.time.after(luck.whole((5 * SECOND, 15 * SECOND)), day.roster.fail)
+    day.time.after(luck.whole((20 * SECOND, 30 * SECOND)), _roster_back, day)
+    slots = day.slots
+    day.time.after(luck.whole((5 * SECOND, 30 * SECOND)), day.terminate, slots[luck.below(len(slots))])
+    if len(slots) > 1:
+        day.time.after(luck.whole((32 * SECOND, 40 * SECOND)), day.kill, slots[luck.below(len(slots))])
+
+
+def _roster_back(day: VirtualDay) -> None:
+    day.roster.reachable = True
+
+
+@dataclass(frozen=True, slots=True)
+class Experiment:
+    name: str
+    about: str
+    terms: dict[str, Any]
+    script: Script = _nothing
+    holders: Holders = _everybody
+    # Bounds on figures, by figure; those of a subsystem hold only while it is on.
+    bounds: dict[str, float] = field(default_factory=dict)
+    bounds_of: dict[str, dict[str, float]] = field(default_factory=dict)
+
+    def world(self, **changes: Any) -> WorldTerms:
+        """Its terms; what was asked for comes before its own."""
+        return replace(WorldTerms(), **{**self.terms, **{k: v for k, v in changes.items() if v is not None}})
+
+
+_LARGE: dict[str, Any] = {"form_servers": 20, "nodes": 4, "households": 1_200, "seconds": 90.0}
+_EVEN = {"rebalance": {"even_after_s": 60.0, "moves_over_fewest": 1.3}}
+
+EXPERIMENTS = {
+    e.name: e
+    for e in (
+        Experiment("calm", "nothing goes wrong", {"seconds": 60.0}),
+        Experiment(
+            "rebalance",
+            "all load stands on a third of the form servers",
+            _LARGE,
+            holders=_a_third,
+            bounds_of=_EVEN,
+        ),
+        Experiment(
+            "rebalance-outage",
+            "a fifth of the form servers vanishes and comes back cold",
+            {**_LARGE, "seconds": 150.0},
+            script=_outage,
+            bounds_of={"rebalance": {"even_after_s": 60.0}},
+        ),
+        Experiment(
+            "rebalance-troubled",
+            "all load on a third, and everything goes wrong while it is evened out",
+            {**_LARGE, "seconds": 120.0},
+            script=_everything,
+            holders=_a_third,
+        ),
+        Experiment("troubled", "every trouble once", {"seconds": 60.0}, script=_everything),
+    )
+}
--- /dev/null
+++ b/sailrun/lab/figures.py
@@ -0,0 +1,87 @@
+"""What a day comes to, in figures."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+
+from sailrun.lab.records import Records
+from sailrun.lab.terms import SECOND
+
+# Even means: the busiest warm form server holds at most this over the mean, for so many seconds on end.
+EVEN, EVEN_FOR = 1.25, 5
+# The price of a move, in the worth of one connection's whole day with the service (the brief's account).
+MOVE_PRICE = 0.02
+
+
+def quantile(values: Sequence[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
+
+
+def even_after(imbalances: Sequence[float], from_s: int) -> float:
+    """Seconds from `from_s` until the fleet is even; infinite if it never is."""
+    for second in range(from_s, len(imbalances)):
+        run = imbalances[second : second + EVEN_FOR]
+        if len(run) == EVEN_FOR and max(run) <= EVEN:
+            return float(second - from_s)
+    return math.inf
+
+
+def fewest_moves(loads: Sequence[Sequence[tuple[float, int]]]) -> int:
+    """The fewest connections whose moves could make a fleet even: from each form server over the bound, the
+    households that relieve it of most for each connection. `loads`: for each server the households it holds,
+    as (load with the household's cost, connections).
+    """
+    total = sum(load for server in loads for load, _ in server)
+    moves = 0
+    for server in loads:
+        over = sum(load for load, _ in server) - EVEN * total / len(loads)
+        for load, connections in sorted(server, key=lambda one: -one[0] / one[1]):
+            if over <= 0:
+                break
+            over -= load
+            moves += connections
+    return moves
+
+
+def figures(records: Records, rebalanced: int, fewest: int, clients: int, warm_s: int) -> dict[str, float]:
+    seconds = records.seconds.columns
+    imbalances = seconds.get("imbalance", [])
+    asked, served = sum(seconds.get("asked", [])), sum(seconds.get("served", []))
+    set_ups = [
+        us / 1000
+        for us, answer in zip(
+            records.requests.columns.get("took_us", []),
+            records.requests.columns.get("answer", []),
+            strict=True,
+        )
+        if answer == "served"
+    ]
+    answers = records.requests.columns.get("answer", [])
+    moves = sum(1 for w in records.events.columns.get("what", []) if w == "move")
+    price = MOVE_PRICE * moves / clients if clients else 0.0
+    service = served / asked if asked else 0.0
+    result = {
+        "service": service,
+        "service_after_moves": service - price,
+        "imbalance_at_start": imbalances[0] if imbalances else 0.0,
+        "imbalance_at_end": sum(imbalances[-5:]) / max(1, len(imbalances[-5:])),
+        "even_after_s": even_after(imbalances, warm_s),
+        "moves": float(moves),  # whatever the reason
+        "moves_for_balance": float(rebalanced),
+        "fewest_moves": float(fewest),
+        "moves_over_fewest": moves / fewest if fewest else math.inf if moves else 1.0,
+        "clients": float(clients),
+        "requests": float(len(answers)),
+        "refused": float(sum(1 for a in answers if a == "refused")),
+        "failed": float(sum(1 for a in answers if a == "failed")),
+        "set_up_ms_p50": quantile(set_ups, 0.5),
+        "set_up_ms_p99": quantile(set_ups, 0.99),
+        "simulated_s": len(imbalances) * 1.0,
+    }
+    return {name: round(value, 6) for name, value in result.items()}
+
+
+def at_s(us: int) -> float:
+    return us / SECOND
--- /dev/null
+++ b/sailrun/lab/run.py
@@ -0,0 +1,150 @@
+"""Plays an experiment and writes down what came of it."""
+
+from __future__ import annotations
+
+import math
+import resource
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from sailrun.lab.checks import Check
+from sailrun.lab.experiments import EXPERIMENTS, Experiment
+from sailrun.lab.figures import figures
+from sailrun.lab.records import Records
+from sailrun.lab.virtual import VirtualDay
+from sailrun.rebalance.terms import RebalanceTerms
+
+SUBSYSTEMS = ("rebalance",)
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """What was asked for; None: as the experiment has it."""
+
+    experiment: str
+    driver: str = "virtual"
+    seed: int = 1
+    form_servers: int | None = None
+    nodes: int | None = None
+    households: int | None = None
+    seconds: float | None = None
+    utilization: float | None = None
+    datagrams_lost: float | None = None
+    off: frozenset[str] = frozenset()
+    rebalance: RebalanceTerms | None = None  # the operator's own terms
+
+
+class Outcome(msgspec.Struct):
+    """One rule or bound, as `summary.json` has it."""
+
+    name: str
+    value: float | None  # None: no finite value
+    limit: float
+    holds: bool
+    faults: list[str] = []
+
+
+class Summary(msgspec.Struct):
+    experiment: str
+    driver: str
+    seed: int
+    world: dict[str, Any]
+    off: list[str]
+    figures: dict[str, float | None]
+    checks: list[Outcome]
+    cost: dict[str, float] = {}  # of this machine: not the same every time
+
+    @property
+    def holds(self) -> bool:
+        return all(check.holds for check in self.checks)
+
+
+def finite(value: float) -> float | None:
+    return value if math.isfinite(value) else None
+
+
+def play(request: Request, progress: Callable[[float], None] = lambda share: None) -> tuple[Summary, Records]:
+    experiment = EXPERIMENTS[request.experiment]
+    began_s, cpu_s = time.monotonic(), time.process_time()
+    if request.driver == "virtual":
+        found, records, checks = _virtual(experiment, request, progress)
+    else:
+        raise ValueError(f"no driver '{request.driver}'")
+    simulated = max(1.0, found.get("simulated_s", 1.0))
+    outcomes = [Outcome(c.name, c.value, c.limit, c.holds, c.faults) for c in checks]
+    bounds = dict(experiment.bounds)
+    for subsystem, its in experiment.bounds_of.items():
+        if subsystem not in request.off:
+            bounds |= its
+    outcomes += [
+        Outcome(name, finite(found[name]), limit, found[name] <= limit) for name, limit in bounds.items()
+    ]
+    summary = Summary(
+        experiment.name,
+        request.driver,
+        request.seed,
+        _world(experiment, request),
+        sorted(request.off),
+        {name: finite(value) for name, value in found.items()},
+        outcomes,
+        {
+            "wall_s": round(time.monotonic() - began_s, 2),
+            "cpu_s_per_simulated_s": round((time.process_time() - cpu_s) / simulated, 4),
+            "peak_mb": round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024, 1),
+        },
+    )
+    return summary, records
+
+
+def _world(experiment: Experiment, request: Request) -> dict[str, Any]:
+    terms = _terms(experiment, request)
+    names = ("form_servers", "nodes", "households", "seconds", "utilization", "datagrams_lost")
+    return {name: getattr(terms, name) for name in names}
+
+
+def _terms(experiment: Experiment, request: Request) -> Any:
+    return experiment.world(
+        form_servers=request.form_servers,
+        nodes=request.nodes,
+        households=request.households,
+        seconds=request.seconds,
+        utilization=request.utilization,
+        datagrams_lost=request.datagrams_lost,
+        off=request.off,
+    )
+
+
+def _virtual(
+    experiment: Experiment, request: Request, progress: Callable[[float], None]
+) -> tuple[dict[str, float], Records, list[Check]]:
+    rebalance = request.rebalance or RebalanceTerms(enabled=True)
+    if "rebalance" in request.off:
+        rebalance = msgspec.structs.replace(rebalance, enabled=False)
+    terms = _terms(experiment, request)
+    day = VirtualDay(terms, request.seed, rebalance, experiment.script, experiment.holders, progress)
+    checks = day.run()
+    found = figures(day.records, day.moves, day.fewest, day.clients, day.warm_s)
+    found["datagrams_a_request"] = round(day.datagrams / max(1.0, found["requests"]), 4)
+    found["datagram_bytes_a_request"] = round(day.datagram_bytes / max(1.0, found["requests"]), 2)
+    found["events"] = float(day.time.done)
+    pressures = [s.most_pressure for s in day.servers.values()]
+    found["most_pressure_on_a_cold_server"] = round(max(pressures, default=0.0), 4)
+    return found, day.records, checks
+
+
+def write(folder: Path, summary: Summary, records: Records) -> None:
+    """Raises OSError where the folder cannot be written."""
+    folder.mkdir(parents=True, exist_ok=True)
+    records.write(folder)
+    text = msgspec.json.format(msgspec.json.encode(summary), indent=1)
+    (folder / "summary.json").write_bytes(text + b"\n")
+
+
+def read_summary(folder: Path) -> Summary:
+    """Raises OSError, or msgspec.ValidationError for a file that is no summary."""
+    return msgspec.json.decode((folder / "summary.json").read_bytes(), type=Summary)
--- /dev/null
+++ b/sailrun/lab/scheduler.py
@@ -0,0 +1,44 @@
+"""Virtual time: what is to happen, in the order of its time; at one time, in the order it was asked for."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from typing import Any
+
+from sailrun.node.clock import Clock
+
+# Any whole second will do; not 0, which a roster takes for "long ago".
+BEGIN_US = 1_000_000_000
+
+
+class Scheduler:
+    def __init__(self) -> None:
+        self.now_us = BEGIN_US
+        self.done = 0  # events so far
+        self._queue: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._count = 0
+
+    def at(self, when_us: int, what: Callable[..., None], *facts: Any) -> None:
+        self._count += 1
+        heapq.heappush(self._queue, (max(when_us, self.now_us), self._count, what, facts))
+
+    def after(self, wait_us: int, what: Callable[..., None], *facts: Any) -> None:
+        self.at(self.now_us + wait_us, what, *facts)
+
+    def run(self, until_us: int) -> None:
+        while self._queue and self._queue[0][0] <= until_us:
+            self.now_us, _, what, facts = heapq.heappop(self._queue)
+            self.done += 1
+            what(*facts)
+        self.now_us = max(self.now_us, until_us)
+
+
+class VirtualClock(Clock):
+    """The node's clock, as the scheduler keeps it."""
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        self._scheduler = scheduler
+
+    def now_us(self) -> int:
+        return self._scheduler.now_us
--- /dev/null
+++ b/sailrun/lab/virtual.py
@@ -0,0 +1,774 @@
+"""The world in virtual time: real cores, decision modules and rebalancers, many nodes in one process.
+
+Everything that happens is an event of the scheduler, and every chance comes from the seed: the same seed
+gives the same records, byte for byte, and a seed that fails can be played again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from sailrun.config import read_settings
+from sailrun.decide import key_hash, server_hash
+from sailrun.interface import BackendState, ListKind, Outcome, Settings
+from sailrun.lab.chance import Stream
+from sailrun.lab.checks import Check, RuleBook
+from sailrun.lab.figures import fewest_moves
+from sailrun.lab.form_servers import FormServerModel, Held, Phase
+from sailrun.lab.households import Client, Population
+from sailrun.lab.records import Records
+from sailrun.lab.scheduler import BEGIN_US, Scheduler, VirtualClock
+from sailrun.lab.terms import SECOND, WorldTerms
+from sailrun.node.core import Node
+from sailrun.node.session import FormServer, FormSession, Placement, RosterNews
+from sailrun.rebalance.balance import Elsewhere, Orders, Rebalancer
+from sailrun.rebalance.terms import RebalanceTerms
+
+MASK = 0xFFFFFFFF
+# A household's further connections come within so long of its first.
+MEMBERS_US = 5 * SECOND
+# A client is moved, and back at the front, within so long.
+GAP_US = (20_000, 200_000)
+# A draining form server that still holds anybody sends them away after this, and ends.
+DRAINED_US = 8 * SECOND
+RESTART_US = SECOND
+ADMITTED_US = (300_000, 900_000)
+# A client's lines come every so often; at slow form servers the nodes' own are timed, one a second.
+LINE_US = 2 * SECOND
+SLOW_US = 10_000
+# What a session from before the day may take to stand.
+RESUME_US = 40 * SECOND
+KEPT_LOGS = ("rebalance", "silent", "decision", "fault", "leaving")
+
+
+class WatchedRebalancer(Rebalancer):
+    """The node's own, which tells whom it moves."""
+
+    moved: dict[str, int]
+
+    def look(self, now_us: int, elsewhere: Elsewhere) -> Orders:
+        orders = super().look(now_us, elsewhere)
+        for name in orders.moves:
+            self.moved[name] = now_us
+        return orders
+
+
+class Visit:
+    """A client's connection to a node: the front, in place of sockets. It is the core's `Household`."""
+
+    def __init__(self, day: VirtualDay, slot: Slot, client: Client, session: FormSession) -> None:
+        self.day, self.slot, self.client, self.session = day, slot, client, session
+        session.household = self
+        self.asked_us = day.time.now_us
+        self.placement: Placement | None = None
+        self.server: FormServerModel | None = None  # that holds it
+        self.turn = 0  # the number of its attempt, to tell late events of earlier ones
+        self.over = False
+
+    # ------------------------------------------------------------------ orders of the core
+
+    def place(self, placement: Placement) -> None:
+        day = self.day
+        now_us = day.time.now_us
+        self.turn += 1
+        self.placement = placement
+        number = placement.form_server.number
+        server = day.servers.get(number)
+        if self.over:
+            self._attempt_over(Outcome.NOT_SENT)
+            return
+        if self.session.resumed_at is not None:
+            assert server is not None
+            self._stand(server, now_us)
+            return
+        day.rules.attempt_began(now_us, self.session.id, placement.form_server.name)
+        net_us = day.net_us(self.slot.zone, server.zone if server else "")
+        connect_us = min(day.terms.connect_timeout_us, placement.until_us - now_us)
+        if server is None or server.phase in (Phase.DOWN, Phase.FALLEN):
+            day.time.after(min(2 * net_us, connect_us), self._failed, self.turn, Outcome.CONNECT_FAILED)
+        elif server.phase is Phase.SILENT:
+            day.time.after(connect_us, self._failed, self.turn, Outcome.CONNECT_FAILED)
+        else:
+            day.time.after(3 * net_us, self._reach, self.turn, server, now_us, net_us)
+            day.time.at(placement.until_us, self._failed, self.turn, Outcome.TIMED_OUT)
+
+    def withdraw(self, attempt: int) -> None:
+        if self.placement is not None and self.placement.attempt == attempt and self.server is None:
+            self._attempt_over(Outcome.CANCELLED)
+
+    def refuse(self, retry_after_us: int) -> None:
+        self._answer("refused", retry_after_us)
+
+    def fail(self) -> None:
+        self._answer("failed", 0)
+
+    def move(self) -> None:
+        if self.server is None:
+            return
+        day, client = self.day, self.client
+        at = self.server.name
+        rebalanced = self.slot.moved.pop(self.session.id, None) is not None
+        day.note("move", node=self.slot.index, server=at, text="rebalance" if rebalanced else "")
+        if rebalanced:
+            day.moves += 1
+            day.rules.rebalanced(day.time.now_us, client.number, client.moved_us)
+            client.moved_us = day.time.now_us
+            day.moving[client.number] = day.time.now_us
+        self.end(Outcome.CANCELLED)
+        day.come_again(client, day.chance.whole(GAP_US))
+
+    # ------------------------------------------------------------------ an attempt
+
+    def _reach(self, turn: int, server: FormServerModel, sent_us: int, net_us: int) -> None:
+        """The first line arrives."""
+        if turn != self.turn or server.phase is Phase.SILENT:
+            return
+        day = self.day
+        if server.phase is not Phase.UP:
+            self._failed(turn, Outcome.CONNECT_FAILED)
+            return
+        took_us = server.set_up_us(day.time.now_us, self.client.setup_us)
+        day.look_after(server)
+        if took_us is None:
+            day.time.after(net_us, self._failed, turn, Outcome.REJECTED)
+        else:
+            day.time.after(int(took_us) + net_us, self._up, turn, server, sent_us, server.started_us)
+
+    def _up(self, turn: int, server: FormServerModel, sent_us: int, started_us: int) -> None:
+        if turn != self.turn or server.phase is Phase.SILENT:
+            return
+        if server.phase is not Phase.UP or server.started_us != started_us:
+            self._failed(turn, Outcome.RESET)
+            return
+        self.day.rules.attempt_ended(self.session.id)
+        self._stand(server, sent_us)
+
+    def _failed(self, turn: int, outcome: Outcome) -> None:
+        if turn == self.turn and self.server is None:
+            self._attempt_over(outcome)
+
+    def _attempt_over(self, outcome: Outcome) -> None:
+        placement, self.placement = self.placement, None
+        self.turn += 1
+        self.day.rules.attempt_ended(self.session.id)
+        if placement is not None and self.slot.node is not None:
+            self.slot.node.attempt_over(self.session, placement, outcome)
+
+    def _stand(self, server: FormServerModel, sent_us: int) -> None:
+        assert self.placement is not None and self.slot.node is not None
+        day, client, request = self.day, self.client, self.session.id
+        now_us = day.time.now_us
+        self.turn += 1
+        self.server = server
+        server.hold(now_us, Held(request, client.household, client.load, now_us))
+        day.count(client, server, 1)
+        self.slot.node.placed(self.session, self.placement, now_us - sent_us)
+        if self.session.resumed_at is None:
+            day.answered(self, "served")
+            since_us = day.moving.pop(client.number, None)
+            if since_us is not None and now_us - since_us < 2 * SECOND and server.cold(now_us):
+                day.rules.arrived_cold(now_us, client.number, server.name)
+        client.stands, client.failures = True, 0
+        client.request = request
+        if client.until_us <= now_us:
+            self.end(Outcome.OK)
+            return
+        self.slot.node.told_load(self.session, client.load)
+        day.time.at(client.until_us, self._life_over, server)
+        day.time.after(day.people.next_swing_us(), self._swing, server)
+
+    def _life_over(self, server: FormServerModel) -> None:
+        if self.server is server and server.phase is Phase.UP:
+            self.end(Outcome.OK)
+        elif self.server is server:
+            self.end(Outcome.CANCELLED)  # the client leaves; its form server says nothing any more
+
+    def _swing(self, server: FormServerModel) -> None:
+        if self.server is not server or server.phase is not Phase.UP or self.slot.node is None:
+            return
+        load = self.day.people.swing(self.client)
+        server.reload(self.day.time.now_us, self.session.id, load)
+        self.slot.node.told_load(self.session, load)
+        self.day.time.after(self.day.people.next_swing_us(), self._swing, server)
+
+    # ------------------------------------------------------------------ its end
+
+    def end(self, outcome: Outcome) -> None:
+        """A standing session ends; its node hears how."""
+        if self.server is None:
+            return
+        self.day.count(self.client, self.server, -1)
+        self.server.release(self.day.time.now_us, self.session.id)
+        self.server = None
+        self.over = True
+        self.client.stands = False
+        self.day.visits.pop(self.session.id, None)
+        self.slot.visits.pop(self.session.id, None)
+        if self.slot.node is not None and self.placement is not None:
+            placement, self.placement = self.placement, None
+            self.slot.node.attempt_over(self.session, placement, outcome)
+            self.slot.node.left(self.session)
+
+    def speak(self) -> None:
+        """The client sends a line that nobody answers."""
+        if self.server is not None and self.slot.node is not None and self.server.phase is Phase.SILENT:
+            self.slot.node.line_out(self.session)
+
+    def _answer(self, answer: str, retry_after_us: int) -> None:
+        if self.placement is not None:
+            self._attempt_over(Outcome.CANCELLED)
+        self.over = True
+        self.day.visits.pop(self.session.id, None)
+        self.slot.visits.pop(self.session.id, None)
+        self.day.answered(self, answer)
+        client = self.client
+        client.failures += 1
+        again_us = client.again_us(self.day.chance, self.day.terms.rejoin_us, retry_after_us)
+        self.day.come_again(client, again_us, returning=client.returning)
+
+
+class Slot:
+    """A node's place: its name and address outlive the process."""
+
+    def __init__(self, index: int, zone: str) -> None:
+        self.index, self.zone = index, zone
+        self.node: Node | None = None
+        self.admitted = False
+        self.visits: dict[str, Visit] = {}
+        self.moved: dict[str, int] = {}  # connections that its rebalancer has moved
+        self.turn_us: int | None = None
+        self.token = 0
+        self.roster_revision = 0
+        self.watching = False
+
+
+class NodeRoster:
+    """The core's `Roster`, for one slot."""
+
+    def __init__(self, day: VirtualDay, slot: Slot) -> None:
+        self._day, self._slot = day, slot
+
+    def watch(self, active: bool) -> None:
+        self._slot.watching = active
+        if active:
+            self._day.roster.call(self._slot)
+
+    def fetch(self) -> None:
+        self._day.roster.call(self._slot)
+
+
+class RosterModel:
+    """The server roster: late, stale or out of reach."""
+
+    def __init__(self, day: VirtualDay) -> None:
+        self._day = day
+        self._chance = Stream(day.seed, "roster")
+        self.revision = 1
+        self.entries: dict[str, FormServer] = {}
+        self._changes: list[tuple[int, FormServer]] = []
+        self.reachable = True
+        self.late_us = 0
+
+    def change(self, server: FormServerModel, state: BackendState, notice: tuple[int, int]) -> None:
+        """Something happened to a server, now; the roster will know of it later."""
+        entry = self.entry(server, state)
+        self._day.time.after(self._chance.whole(notice) + self.late_us, self._publish, entry)
+
+    @staticmethod
+    def entry(server: FormServerModel, state: BackendState) -> FormServer:
+        address = ("127.0.0.1", 1)
+        return FormServer(server.name, address, state, server.zone, 0, 1.0, server.started_us)
+
+    def _publish(self, entry: FormServer) -> None:
+        self.revision += 1
+        self.entries[entry.name] = entry
+        self._changes.append((self.revision, entry))
+        if self.reachable:
+            for slot in self._day.slots:
+                if slot.watching:
+                    self.call(slot)
+
+    def fail(self) -> None:
+        self.reachable = False
+        for slot in self._day.slots:
+            if slot.watching and slot.node is not None:
+                slot.watching = False
+                slot.node.roster_failed("out of reach")
+
+    def call(self, slot: Slot) -> None:
+        self._day.time.after(self._chance.whole(self._day.terms.call_us), self._answer, slot, slot.node)
+
+    def _answer(self, slot: Slot, node: Node | None) -> None:
+        if node is None or slot.node is not node:
+            return
+        if not self.reachable:
+            slot.watching = False
+            node.roster_failed("out of reach")
+            return
+        changed: dict[str, FormServer] = {}
+        for revision, entry in reversed(self._changes):
+            if revision <= slot.roster_revision:
+                break
+            changed.setdefault(entry.name, entry)
+        slot.roster_revision = self.revision
+        now_us = self._day.time.now_us
+        for entry in changed.values():
+            if entry.state is BackendState.READY:
+                self._day.rules.told_serving(slot.index, entry.name)
+            else:
+                self._day.rules.told_leaving(now_us, slot.index, entry.name)
+        node.roster_told(RosterNews(ListKind.DELTA, self.revision, tuple(changed.values())))
+
+
+class Datagrams:
+    """The core's `Neighbours`, for one slot: late, or never."""
+
+    def __init__(self, day: VirtualDay, slot: Slot) -> None:
+        self._day, self._slot = day, slot
+
+    def tell(self, neighbour: int | None, content: bytes) -> None:
+        day = self._day
+        for slot in day.slots:
+            if slot is self._slot or (neighbour is not None and slot.index != neighbour):
+                continue
+            day.datagrams += 1
+            day.datagram_bytes += len(content)
+            if day.wire.random() >= day.terms.datagrams_lost:
+                day.time.after(day.wire.whole(day.terms.datagram_us), self._arrive, slot, content)
+
+    def _arrive(self, slot: Slot, content: bytes) -> None:
+        if slot.node is not None:
+            slot.node.neighbour_said(self._slot.index, content)
+
+
+class VirtualDay:
+    """One day. `script` is called once everything stands, and schedules what goes wrong."""
+
+    def __init__(
+        self,
+        terms: WorldTerms,
+        seed: int,
+        rebalance: RebalanceTerms,
+        script: Callable[[VirtualDay], None],
+        holders: Callable[[Sequence[FormServerModel]], Sequence[FormServerModel]] = lambda servers: servers,
+        told: Callable[[float], None] = lambda share: None,
+    ) -> None:
+        self.terms, self.seed = terms, seed
+        self._rebalance, self._script, self._holders, self._progress = rebalance, script, holders, told
+        self.time = Scheduler()
+        self.chance = Stream(seed, "clients")
+        self.wire = Stream(seed, "network")
+        self.luck = Stream(seed, "troubles")
+        self.people = Population(terms, seed)
+        self.rules = RuleBook(BEGIN_US, terms.drain_grace_us)
+        self.faults = Check("no-fault-in-a-node")
+        self.records = Records()
+        self.servers: dict[int, FormServerModel] = {}
+        self.roster = RosterModel(self)
+        self.settings: dict[int, Settings] = {}
+        self.slots = [Slot(n, terms.zones[n % len(terms.zones)]) for n in range(terms.nodes)]
+        self.visits: dict[str, Visit] = {}  # by request: all that are asking or standing
+        self.moving: dict[int, int] = {}  # clients on their way after a move for balance
+        self.moves = self.datagrams = self.datagram_bytes = self.clients = self.fewest = 0
+        self.warm_s = 0  # when the last form server is warm again
+        self._wanting = [0] * len(terms.classes)
+        self._index = {c.name: n for n, c in enumerate(terms.classes)}
+        self._held: dict[int, list[int]] = {}  # standing connections by form server and class
+        self._requests = 0
+        self._begun = False
+
+    @property
+    def second(self) -> float:
+        return (self.time.now_us - BEGIN_US) / SECOND
+
+    def note(self, what: str, node: int = -1, server: str = "", text: str = "") -> None:
+        at_us = self.time.now_us - BEGIN_US
+        self.records.events.add(at_us=at_us, what=what, node=node, server=server, text=text)
+
+    # ------------------------------------------------------------------ the whole day
+
+    def run(self) -> list[Check]:
+        """Plays the day; returns the rules and whether they held."""
+        self._build()
+        for slot in self.slots:
+            self._start(slot)
+        self._populate()
+        self.time.run(BEGIN_US + SECOND // 2)
+        held = [
+            [
+                (sum(one.load for one in members) + self.terms.household_cost * self.terms.unit, len(members))
+                for members in _households(server).values()
+            ]
+            for server in self.servers.values()
+        ]
+        self.fewest = fewest_moves(held)
+        self._script(self)
+        self.time.after(0, self._sample)
+        self.time.after(0, self._arrive)
+        end_us = BEGIN_US + SECOND // 2 + int(self.terms.seconds * SECOND)
+        while self.time.now_us < end_us:
+            self.time.run(min(end_us, self.time.now_us + SECOND))
+            self._progress((self.time.now_us - BEGIN_US) / (end_us - BEGIN_US))
+        self.rules.end(self.time.now_us)
+        return [*self.rules.all(), self.faults]
+
+    def _build(self) -> None:
+        draws = Stream(self.seed, "form-servers")
+        for n in range(self.terms.form_servers):
+            number = (n * 0x9E3779B1 + self.seed * 0x85EBCA6B + 0x51ED270B) & MASK
+            while number in self.servers:
+                number = (number + 1) & MASK
+            server = FormServerModel(
+                self.terms,
+                number,
+                f"s-{number:08x}",
+                self.terms.zones[n % len(self.terms.zones)],
+                self.terms.cores * draws.between(self.terms.speed) * SECOND,
+                draws.between(self.terms.cold_from),
+                draws.whole(self.terms.cold_us),
+                at_us=self.time.now_us,
+            )
+            self.servers[number] = server
+            self._held[number] = [0] * len(self.terms.classes)
+            self.roster.entries[server.name] = self.roster.entry(server, BackendState.READY)
+
+    def _start(self, slot: Slot) -> None:
+        if slot.index not in self.settings:
+            self.settings[slot.index] = read_settings(self.terms.settings(slot.index))
+        settings = self.settings[slot.index]
+        known = RosterNews(ListKind.CACHED, self.roster.revision, tuple(self.roster.entries.values()))
+        slot.roster_revision = self.roster.revision
+
+        def log(what: str, **facts: object) -> None:
+            if what in KEPT_LOGS:
+                text = " ".join(f"{name}={value}" for name, value in facts.items() if value is not None)
+                self.note(what, node=slot.index, text=text)
+            if what == "fault":
+                self.faults.broken(self.time.now_us - BEGIN_US, str(facts)[:2000])
+
+        seed = self.seed * 1_000_003 + slot.index * 101 + self.time.now_us
+        node = Node(settings, seed, VirtualClock(self.time), known, log)
+        node.roster, node.neighbours = NodeRoster(self, slot), Datagrams(self, slot)
+        if self._rebalance.enabled:
+            node.rebalancer = WatchedRebalancer(self._rebalance, settings, self.time.now_us)
+            node.rebalancer.moved = slot.moved = {}
+        slot.node, slot.admitted, slot.turn_us = node, True, None
+        node.wake = lambda: self._arm(slot, self.time.now_us + self.terms.tick_us)
+        node.start()
+        self._arm(slot, node.due_us())
+
+    def _arm(self, slot: Slot, when_us: int) -> None:
+        if slot.turn_us is None or when_us < slot.turn_us:
+            slot.turn_us = when_us
+            slot.token += 1
+            self.time.at(when_us, self._turn, slot, slot.token)
+
+    def _turn(self, slot: Slot, token: int) -> None:
+        node = slot.node
+        if node is None or token != slot.token:
+            return
+        slot.turn_us = None
+        node.turn(self.time.now_us)
+        if node.stopped:
+            self.gone(slot)
+        else:
+            self._arm(slot, node.due_us())
+
+    # ------------------------------------------------------------------ clients
+
+    def _populate(self) -> None:
+        """Those who stand when the day begins, each where its score would have it, none filled far over."""
+        holders = list(self._holders(list(self.servers.values())))
+        hashes = [(server_hash(s.number), s) for s in holders]
+        total = sum(s.capacity for s in holders)
+        expected = self.terms.households * (self.terms.household_cost * self.terms.unit)
+        expected += self.terms.connections * self.terms.unit
+        for _ in range(self.terms.households):
+            clients = self.people.household(self.time.now_us, 0)
+            key = key_hash(clients[0].household)
+            ranked = sorted(hashes, key=lambda pair: (-((pair[0] * key) & MASK), pair[1].number))
+            server = next(
+                (s for _, s in ranked if s.load <= 1.1 * expected * s.capacity / total), ranked[0][1]
+            )
+            for client in clients:
+                self._want(client)
+                slot = self._front(client)
+                if slot is not None:
+                    self._ask(slot, client, resumed_at=server)
+            # Sessions are booked at the next turn; meanwhile the load counts here.
+            server.load += sum(c.load for c in clients) + self.terms.household_cost * self.terms.unit
+        for server in holders:
+            server.load = 0.0
+
+    def _arrive(self) -> None:
+        for client in self.people.household(self.time.now_us, MEMBERS_US):
+            self.time.at(client.from_us, self._first, client)
+        self.time.after(int(self.chance.exponential(SECOND / self.people.arrivals_per_s)), self._arrive)
+
+    def _first(self, client: Client) -> None:
+        self._want(client)
+        self._knock(client)
+
+    def _want(self, client: Client) -> None:
+        self.clients += 1
+        self._wanting[self._index[client.terms.name]] += 1
+        self.time.at(client.until_us, self._want_no_more, client)
+
+    def _want_no_more(self, client: Client) -> None:
+        self._wanting[self._index[client.terms.name]] -= 1
+
+    def _front(self, client: Client) -> Slot | None:
+        near = [s for s in self.slots if s.admitted and s.zone == client.zone]
+        slots = near or [s for s in self.slots if s.admitted]
+        return slots[self.chance.below(len(slots))] if slots else None
+
+    def _knock(self, client: Client) -> None:
+        if self.time.now_us >= client.until_us:
+            return
+        slot = self._front(client)
+        if slot is None or slot.node is None:
+            client.failures += 1
+            self.time.after(client.again_us(self.chance, self.terms.rejoin_us), self._knock, client)
+            return
+        self._ask(slot, client)
+
+    def _ask(self, slot: Slot, client: Client, resumed_at: FormServerModel | None = None) -> None:
+        assert slot.node is not None
+        self._requests += 1
+        client.tries += 1
+        now_us = self.time.now_us
+        deadline_us = now_us + (RESUME_US if resumed_at is not None else client.terms.deadline_us)
+        session = FormSession(
+            id=f"r{self._requests}",
+            request_class=client.terms.name,
+            deadline_us=deadline_us,
+            household=None,  # type: ignore[arg-type]  # the visit takes this place at once
+            key=client.key,
+            group=client.household,
+            repeat=client.failures > 0,
+            returning=client.returning,
+            resumed_at=resumed_at.name if resumed_at is not None else None,
+        )
+        visit = Visit(self, slot, client, session)
+        self.visits[session.id] = slot.visits[session.id] = visit
+        if resumed_at is None:
+            self.rules.asked(now_us, session.id, slot.index, deadline_us)
+        slot.node.ask(session)
+
+    def come_again(self, client: Client, after_us: int, returning: bool = True) -> None:
+        client.returning = returning
+        self.time.after(after_us, self._knock, client)
+
+    def answered(self, visit: Visit, answer: str) -> None:
+        now_us = self.time.now_us
+        self.rules.answered(now_us, visit.session.id, answer)
+        self.records.requests.add(
+            at_us=now_us - BEGIN_US,
+            cls=visit.client.terms.name,
+            answer=answer,
+            took_us=now_us - visit.asked_us,
+            attempts=visit.session.attempts,
+            node=visit.slot.index,
+            server=visit.server.name if visit.server is not None else "",
+            returning=visit.client.returning,
+        )
+
+    def count(self, client: Client, server: FormServerModel, change: int) -> None:
+        self._held[server.number][self._index[client.terms.name]] += change
+
+    # ------------------------------------------------------------------ what goes wrong
+
+    def lose(self, server: FormServerModel, phase: Phase) -> None:
+        """The process ends: everything it held breaks."""
+        for request in server.stop(phase):
+            visit = self.visits.get(request)
+            if visit is not None:
+                self._break(visit, Outcome.RESET)
+
+    def _break(self, visit: Visit, outcome: Outcome) -> None:
+        client = visit.client
+        visit.end(outcome)
+        client.failures += 1
+        self.come_again(client, client.again_us(self.chance, self.terms.rejoin_us))
+
+    def crash(self, server: FormServerModel, back_after_us: int) -> None:
+        self.note("crash", server=server.name)
+        self.lose(server, Phase.DOWN)
+        self.roster.change(server, BackendState.GONE, self.terms.notice_us)
+        self.time.after(back_after_us, self._return, server)
+
+    def vanish(self, server: FormServerModel, back_after_us: int) -> None:
+        """The machine is cut off: no reset, no answer, until it returns as a new process."""
+        self.note("vanish", server=server.name)
+        server.advance(self.time.now_us)
+        server.phase = Phase.SILENT
+        for request in server.held:
+            self.time.after(self.luck.below(LINE_US), self.visits[request].speak)
+        self.roster.change(server, BackendState.GONE, self.terms.silent_notice_us)
+        self.time.after(back_after_us, self._return, server)
+
+    def _return(self, server: FormServerModel) -> None:
+        if server.phase is Phase.FALLEN:
+            return
+        self.lose(server, Phase.DOWN)
+        server.start(self.time.now_us)
+        self.warm_s = max(self.warm_s, int(self.second + server.cold_us / SECOND) + 1)
+        self.note("start", server=server.name)
+        self.roster.change(server, BackendState.READY, self.terms.notice_us)
+
+    def drain(self, server: FormServerModel, back_after_us: int) -> None:
+        self.note("drain", server=server.name)
+        server.draining = True
+        self.roster.change(server, BackendState.DRAINING, self.terms.notice_us)
+        self.time.after(DRAINED_US, self._drained, server, back_after_us)
+
+    def _drained(self, server: FormServerModel, back_after_us: int) -> None:
+        for request in list(server.held):
+            self._break(self.visits[request], Outcome.CANCELLED)
+        self.note("drained", server=server.name)
+        server.stop(Phase.DOWN)
+        self.roster.change(server, BackendState.GONE, self.terms.notice_us)
+        self.time.after(back_after_us, self._return, server)
+
+    def drop(self, share: float, within_us: int) -> None:
+        """A share of the clients drop and come again together."""
+        self.note("drop", text=f"share={share}")
+        for visit in list(self.visits.values()):
+            if visit.server is not None and self.luck.random() < share:
+                visit.end(Outcome.CANCELLED)
+                self.come_again(visit.client, self.luck.below(within_us))
+
+    def kill(self, slot: Slot) -> None:
+        """A node is killed outright, and starts again from nothing."""
+        self.note("kill", node=slot.index)
+        slot.node = None
+        self.rules.node_gone(slot.index)
+        self.gone(slot)
+
+    def terminate(self, slot: Slot) -> None:
+        """A planned restart: newcomers for up to 0.4 s more."""
+        self.note("terminate", node=slot.index)
+        if slot.node is not None:
+            slot.node.leave()
+            self.time.after(self.luck.whole((200_000, 400_000)), self._shut_out, slot, slot.node)
+
+    def _shut_out(self, slot: Slot, node: Node) -> None:
+        if slot.node is node:
+            slot.admitted = False
+
+    def gone(self, slot: Slot) -> None:
+        """The node's process has ended, with whatever still came through it."""
+        planned, slot.node = slot.node is not None, None
+        slot.admitted, slot.watching = False, False
+        for visit in list(slot.visits.values()):
+            if planned and visit.server is not None:
+                self.rules.cut_off(self.time.now_us, visit.session.id, visit.server.name)
+            visit.over = True
+            if visit.server is not None:
+                visit.end(Outcome.CANCELLED)
+            else:
+                visit.turn += 1  # whatever is still to come of its attempt finds nobody
+                self.visits.pop(visit.session.id, None)
+            self.come_again(visit.client, visit.client.again_us(self.chance, self.terms.rejoin_us))
+        slot.visits.clear()
+        self.time.after(RESTART_US, self._start_again, slot)
+
+    def _start_again(self, slot: Slot) -> None:
+        self._start(slot)
+        slot.admitted = False
+        self.time.after(self.luck.whole(ADMITTED_US), self._admit, slot)
+
+    def _admit(self, slot: Slot) -> None:
+        slot.admitted = slot.node is not None
+
+    def look_after(self, server: FormServerModel) -> None:
+        """What a form server does by itself: it falls over, or drops its newest connections."""
+        if (server.phase is Phase.FALLEN and server.held) or (
+            server.phase is Phase.FALLEN and server.backlog
+        ):
+            self.rules.fell(self.time.now_us, server.name)
+            self.note("fallen", server=server.name)
+            self.lose(server, Phase.FALLEN)
+            self.roster.change(server, BackendState.GONE, self.terms.notice_us)
+        elif server.phase is Phase.UP:
+            for request in server.shed():
+                self._break(self.visits[request], Outcome.RESET)
+
+    # ------------------------------------------------------------------ a second
+
+    def _sample(self) -> None:
+        """What the second that begins now looks like."""
+        now_us, terms = self.time.now_us, self.terms
+        at_us = now_us - BEGIN_US
+        served = 0.0
+        warm_load = warm_capacity = 0.0
+        ratios: list[tuple[float, float]] = []
+        for server in self.servers.values():
+            server.advance(now_us)
+            self.look_after(server)
+            held = self._held[server.number]
+            if server.phase is Phase.UP:
+                for n, cls in enumerate(terms.classes):
+                    if held[n]:
+                        served += held[n] * cls.worth * server.answered_within(now_us, cls.message_us)
+                if server.message_us(now_us) >= SLOW_US:
+                    self._time_a_line(server)
+                if not server.cold(now_us) and not server.draining:
+                    warm_load += server.load
+                    warm_capacity += server.capacity
+                    ratios.append((server.load, server.capacity))
+            self.records.servers.add(
+                at_us=at_us,
+                server=server.name,
+                load=server.load,
+                capacity=server.present(now_us),
+                backlog_us=server.backlog,
+                standing=sum(held),
+                phase=server.phase.value,
+                draining=server.draining,
+                cold=server.cold(now_us),
+            )
+        mean = warm_load / len(ratios) if ratios else 0.0
+        imbalance = max(load for load, _ in ratios) / mean if mean else 0.0
+        self.records.seconds.add(
+            at_us=at_us,
+            imbalance=imbalance,
+            utilization=warm_load / warm_capacity if warm_capacity else 0.0,
+            busiest=max((load / capacity for load, capacity in ratios), default=0.0),
+            wanting=sum(self._wanting),
+            standing=sum(map(sum, self._held.values())),
+            asked=sum(n * c.worth for n, c in zip(self._wanting, terms.classes, strict=True)),
+            served=served,
+            moves=self.moves,
+            datagrams=self.datagrams,
+        )
+        self.time.after(SECOND, self._sample)
+
+    def _time_a_line(self, server: FormServerModel) -> None:
+        """One line of each node's to a slow form server, and its answer."""
+        seen: dict[int, None] = {}
+        took_us = int(server.message_us(self.time.now_us))
+        for request in server.held:
+            visit = self.visits[request]
+            if visit.slot.index not in seen and visit.slot.node is not None:
+                seen[visit.slot.index] = None
+                visit.slot.node.line_out(visit.session)
+                self.time.after(took_us, self._answer_line, visit, visit.slot.node)
+                if len(seen) == len(self.slots):
+                    break
+
+    def _answer_line(self, visit: Visit, node: Node) -> None:
+        if visit.server is not None and visit.slot.node is node:
+            node.heard(visit.session)
+            node.answered(visit.session)
+
+    def net_us(self, here: str, there: str) -> int:
+        return self.wire.whole(self.terms.near_us if here == there else self.terms.far_us)
+
+
+def _households(server: FormServerModel) -> dict[str, list[Any]]:
+    found: dict[str, list[Any]] = {}
+    for one in server.held.values():
+        found.setdefault(one.household, []).append(one)
+    return found
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import contextlib
 import heapq
 import math
 import traceback
+from collections import deque
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import anyio
 
@@ -21,6 +21,9 @@
 from sailrun.node.session import FormServer, FormSession, Placement, RosterNews
 from sailrun.node.watch import ServerWatch
 
+if TYPE_CHECKING:
+    from sailrun.rebalance.balance import Rebalancer
+
 SECOND = 1_000_000
 SWEEP_US = 100_000
 PULSE_US = 10 * SECOND
@@ -52,19 +55,34 @@
 
 
 class Node:
-    def __init__(self, settings: i.Settings, seed: int, clock: Clock, known: RosterNews) -> None:
+    """The core. `run` drives it by the clock; whoever keeps the time himself calls `start`, and `turn`
+    whenever `due_us` has come or a tick after `wake` was called.
+    """
+
+    def __init__(
+        self,
+        settings: i.Settings,
+        seed: int,
+        clock: Clock,
+        known: RosterNews,
+        log: Callable[..., None] = log,
+    ) -> None:
         self.clock = clock
+        self.wake: Callable[[], None] = lambda: None  # the queue is no longer empty
+        self._log = log
         self.settings = settings
         self.roster: Roster | None = None
         self.neighbours: Neighbours | None = None
         self.prober: Prober | None = None
+        self.rebalancer: Rebalancer | None = None  # off on the platform
         self.leaving = False  # asked to stop: everybody is being sent away
         self._now = clock.now_us()
         self._module = Balancer(settings, seed, self._now)
-        self._send, self._receive = anyio.create_memory_object_stream[Callable[[], None]](math.inf)
+        self._calls: deque[Callable[[], None]] = deque()
         self._sessions: dict[str, FormSession] = {}
         self._form_servers: dict[int, FormServer] = {}
         self._watches: dict[int, ServerWatch] = {}
+        self._talking: dict[int, ServerWatch] = {}  # those with anything to look at in a sweep
         self._timers: list[tuple[int, int]] = []
         self._sweep_us = self._now + SWEEP_US
         self._pulse_us = self._now + PULSE_US
@@ -72,15 +90,14 @@
         self._slow_us = min(aims) / 3 if aims else 0.0
         self._known = known
         self._asked_to_leave_us = self._stop_us = self._moves_from_us = self._moves_until_us = 0
-        self._stopped = anyio.Event()
+        self.stopped = False
 
     # ------------------------------------------------------------------ what others tell
 
     def _post(self, handler: Callable[..., None], *facts: Any) -> None:
-        with contextlib.suppress(
-            anyio.BrokenResourceError, anyio.ClosedResourceError
-        ):  # the node has stopped
-            self._send.send_nowait(lambda: handler(*facts))
+        self._calls.append(lambda: handler(*facts))
+        if len(self._calls) == 1:
+            self.wake()
 
     def ask(self, session: FormSession) -> None:
         """A household asks for a form session; one final answer is owed by its deadline."""
@@ -102,6 +119,9 @@
     def line_out(self, session: FormSession) -> None:
         """A household's line went to its form server."""
         session.unanswered.append(self.clock.now_us())
+        if session.placement is not None:
+            number = session.placement.form_server.number
+            self._talking[number] = self._watches.setdefault(number, ServerWatch())
 
     def heard(self, session: FormSession) -> None:
         """Anything at all came from the session's form server."""
@@ -127,7 +147,7 @@
         self._post(self._roster_failed, why)
 
     def neighbour_said(self, neighbour: int, content: bytes) -> None:
-        self._post(lambda: self._feed(i.PeerMessage(neighbour, content)))
+        self._post(self._neighbour_said, neighbour, content)
 
     def probed(self, form_server: FormServer, outcome: i.Outcome, took_us: int) -> None:
         self._post(lambda: self._feed(i.ProbeEnded(form_server.number, outcome, took_us)))
@@ -140,27 +160,35 @@
 
     async def run(self) -> None:
         """Runs until `leave` was called and everybody has been sent away."""
-        self._roster_told(self._known)
-        while not self._stopped.is_set():
-            due_us = min(self._sweep_us, self._timers[0][0] if self._timers else self._sweep_us)
-            call: Callable[[], None] | None = None
-            with anyio.CancelScope(deadline=self.clock.moment(due_us)):
-                call = await self._receive.receive()
+        self.start()
+        while not self.stopped:
+            called = anyio.Event()
+            self.wake = called.set
+            with anyio.CancelScope(deadline=self.clock.moment(self.due_us())):
+                if not self._calls:
+                    await called.wait()
                 # What comes in within a tick belongs together, as when a form server's process dies and
                 # all its connections break at once.
                 await anyio.sleep_until(self.clock.moment(self.clock.now_us() + self.settings.tick_us))
-            self._now = self.clock.now_us()
-            while call is not None:
-                call()
-                try:
-                    call = self._receive.receive_nowait()
-                except anyio.WouldBlock:
-                    call = None
-            while self._timers and self._timers[0][0] <= self._now:
-                self._feed(i.TimerFired(heapq.heappop(self._timers)[1]))
-            if self._now >= self._sweep_us:
-                self._sweep_us = self._now + SWEEP_US
-                self._sweep()
+            self.turn(self.clock.now_us())
+
+    def start(self) -> None:
+        self._roster_told(self._known)
+
+    def due_us(self) -> int:
+        """When a turn is due even if nobody calls."""
+        return min(self._sweep_us, self._timers[0][0] if self._timers else self._sweep_us)
+
+    def turn(self, now_us: int) -> None:
+        """Does all that has come in, and what the time has come for."""
+        self._now = now_us
+        while self._calls:
+            self._calls.popleft()()
+        while self._timers and self._timers[0][0] <= self._now:
+            self._feed(i.TimerFired(heapq.heappop(self._timers)[1]))
+        if self._now >= self._sweep_us:
+            self._sweep_us = self._now + SWEEP_US
+            self._sweep()
 
     def _feed(self, event: i.Event) -> None:
         """Hands the module one event and carries out what it decides."""
@@ -168,7 +196,7 @@
             actions = self._module.handle(self._now, event)
         except Exception:
             # A fault of the decisions must not take every other household down with the node.
-            log("fault", event=type(event).__name__, trace=traceback.format_exc())
+            self._log("fault", event=type(event).__name__, trace=traceback.format_exc())
             session = self._sessions.get(getattr(event, "request", ""))
             if session is not None and not session.stands:
                 self._end(session)
@@ -179,7 +207,7 @@
                 self._carry_out(action)
             except Exception:
                 # Nor must a fault of one front in taking an order.
-                log("fault", action=type(action).__name__, trace=traceback.format_exc())
+                self._log("fault", action=type(action).__name__, trace=traceback.format_exc())
 
     def _carry_out(self, action: i.Action) -> None:
         match action:
@@ -188,13 +216,13 @@
             case i.Refuse():
                 if (session := self._answerable(action.request)) is not None:
                     session.household.refuse(action.retry_after_us)
+                    if self.rebalancer is not None:
+                        self.rebalancer.refused(self._now)
             case i.Fail():
                 if (session := self._answerable(action.request)) is not None:
                     session.household.fail()
             case i.MoveConnection():
-                if (session := self._sessions.get(action.request)) is not None and session.stands:
-                    session.moving = True
-                    session.household.move()
+                self._move(action.request)
             case i.CancelAttempt():
                 if (session := self._sessions.get(action.request)) is not None and not session.stands:
                     session.household.withdraw(action.attempt)
@@ -216,7 +244,7 @@
             case i.CloseIdle():
                 pass  # no connection here is ever idle: each belongs to one form session
             case i.Log():
-                log("decision", text=action.text)
+                self._log("decision", text=action.text)
 
     def _send_to(self, action: i.Send) -> None:
         session = self._sessions.get(action.request)
@@ -237,6 +265,12 @@
         session.attempts += 1
         session.household.place(session.placement)
 
+    def _move(self, name: str) -> None:
+        session = self._sessions.get(name)
+        if session is not None and session.stands and not session.moving:
+            session.moving = True
+            session.household.move()
+
     def _answerable(self, name: str) -> FormSession | None:
         session = self._sessions.get(name)
         if session is None or session.over:
@@ -252,6 +286,8 @@
 
     def _asked(self, session: FormSession) -> None:
         self._sessions[session.id] = session
+        if self.rebalancer is not None and session.resumed_at is None:
+            self.rebalancer.arrived(self._now, session.returning)
         if session.resumed_at is not None:
             named = [s for s in self._form_servers.values() if s.name == session.resumed_at]
             if named:
@@ -277,7 +313,10 @@
     def _placed(self, session: FormSession, placement: Placement, took_us: int) -> None:
         number = placement.form_server.number
         session.stands = session.over = True
-        self._watches.setdefault(number, ServerWatch()).sessions[session.id] = session
+        watch = self._watches.setdefault(number, ServerWatch())
+        watch.sessions[session.id] = session
+        if session.unanswered:
+            self._talking[number] = watch
         if session.resumed_at is not None:
             self._feed(
                 i.ConnectionResumed(
@@ -292,6 +331,20 @@
             )
         else:
             self._feed(i.ConnectionOpened(session.id, placement.attempt, number, took_us))
+        if self.rebalancer is not None:
+            resumed = session.resumed_at is not None
+            household = session.group or session.key or session.id
+            self.rebalancer.stands(
+                self._now,
+                session.id,
+                number,
+                household,
+                session.request_class,
+                session.returning and not resumed,
+                None if resumed else took_us,
+            )
+            if session.load_hint:
+                self.rebalancer.loaded(session.id, session.load_hint)
 
     def _attempt_over(self, session: FormSession, placement: Placement, outcome: i.Outcome) -> None:
         if session.placement is not placement:
@@ -301,6 +354,10 @@
         if stood:
             self._watches[number].sessions.pop(session.id, None)
             session.stands = False
+            if self.rebalancer is not None:
+                self.rebalancer.ended(self._now, session.id, outcome)
+        elif outcome is i.Outcome.REJECTED and self.rebalancer is not None:
+            self.rebalancer.turned_away(self._now, number)
         session.placement = None
         if outcome not in (i.Outcome.REJECTED, i.Outcome.CONNECT_FAILED, i.Outcome.NOT_SENT):
             session.may_have_run = True
@@ -327,10 +384,12 @@
             self._feed(
                 i.AttemptNotice(session.id, session.placement.attempt, number, i.NoticeKind.LOAD, load)
             )
+            if self.rebalancer is not None:
+                self.rebalancer.loaded(session.id, load)
 
     def _roster_told(self, news: RosterNews) -> None:
         if news.kind is not i.ListKind.CACHED:
-            log(
+            self._log(
                 "roster",
                 kind=news.kind.name.lower(),
                 revision=news.revision,
@@ -338,16 +397,26 @@
             )
         for form_server in news.form_servers:
             self._form_servers[form_server.number] = form_server
-        self._feed(i.ListUpdate(news.kind, news.revision, tuple(s.as_backend() for s in news.form_servers)))
+        entries = tuple(s.as_backend() for s in news.form_servers)
+        if self.rebalancer is not None:
+            self.rebalancer.listed(self._now, news.kind, entries)
+        self._feed(i.ListUpdate(news.kind, news.revision, entries))
 
     def _roster_failed(self, why: str) -> None:
-        log("roster-failed", why=why)
+        self._log("roster-failed", why=why)
+        if self.rebalancer is not None:
+            self.rebalancer.roster_lost(self._now)
         self._feed(i.ListUpdate(i.ListKind.FAILED))
 
+    def _neighbour_said(self, neighbour: int, content: bytes) -> None:
+        if self.rebalancer is not None:
+            self.rebalancer.heard(self._now, neighbour, content)
+        self._feed(i.PeerMessage(neighbour, content))
+
     # ------------------------------------------------------------------ by the clock
 
     def _sweep(self) -> None:
-        for number, watch in self._watches.items():
+        for number, watch in list(self._talking.items()):
             silent = list(watch.silent(self._now))
             for session in silent:
                 # Told to the module here, all at one time: it then sees that they broke together.
@@ -356,21 +425,42 @@
                 if session.placement is not None:
                     self._attempt_over(session, session.placement, i.Outcome.RESET)
             if silent:
-                log("silent", server=self._name(number), moved=len(silent))
+                self._log("silent", server=self._name(number), moved=len(silent))
             was_slow = watch.slow
             value = watch.notice(self._now, self._slow_us)
             if value is not None and watch.slow is not was_slow:
-                log("slow" if watch.slow else "quick-again", server=self._name(number), ms=round(value, 1))
+                self._log(
+                    "slow" if watch.slow else "quick-again", server=self._name(number), ms=round(value, 1)
+                )
             told = next((s for s in watch.sessions.values() if s.placement is not None), None)
             if value is not None and told is not None and told.placement is not None:
                 attempt = told.placement.attempt
                 self._feed(i.AttemptNotice(told.id, attempt, number, i.NoticeKind.DELAY, value))
+            if watch.at_rest():
+                del self._talking[number]
+        if self.rebalancer is not None and self.rebalancer.due(self._now):
+            self._rebalance(self.rebalancer)
         if self._now >= self._pulse_us:
             self._pulse_us = self._now + PULSE_US
             self._pulse()
         if self._stop_us:
             self._send_away()
 
+    def _rebalance(self, rebalancer: Rebalancer) -> None:
+        try:
+            orders = rebalancer.look(self._now, lambda names: self._module.elsewhere(self._now, names))
+        except Exception:
+            # What only makes things better must not take the node down with it.
+            self._log("fault", where="rebalance", trace=traceback.format_exc())
+            self.rebalancer = None
+            return
+        for note in orders.notes:
+            self._log("rebalance", **note)
+        for name in orders.moves:
+            self._move(name)
+        if orders.tell is not None and self.neighbours is not None:
+            self.neighbours.tell(None, orders.tell)
+
     def _pulse(self) -> None:
         """What on-call staff look at first: how many sessions stand where, and what a message takes there."""
         shown = []
@@ -380,7 +470,7 @@
                 took = f"{delay_us / 1000:.1f}ms" if delay_us is not None else "-"
                 shown.append(f"{self._name(number)}:{len(watch.sessions)}/{took}")
         waiting = sum(1 for s in self._sessions.values() if not s.over)
-        log("pulse", waiting=waiting, standing=",".join(shown) or "none")
+        self._log("pulse", waiting=waiting, standing=",".join(shown) or "none")
 
     def _name(self, number: int) -> str:
         known = self._form_servers.get(number)
@@ -391,11 +481,13 @@
             return
         longest_us = min(LONGEST_US, max(c.deadline_us for c in self.settings.classes))
         self.leaving = True
+        if self.rebalancer is not None:
+            self.rebalancer.leave()
         self._asked_to_leave_us = self._now
         self._stop_us = self._now + longest_us
         self._moves_from_us = self._now + int(MOVES_BEGIN * longest_us)
         self._moves_until_us = self._now + int(MOVES_END * longest_us)
-        log("leaving", sessions=len(self._standing()), within_ms=longest_us // 1000)
+        self._log("leaving", sessions=len(self._standing()), within_ms=longest_us // 1000)
 
     def _standing(self) -> list[FormSession]:
         return [s for w in self._watches.values() for s in w.sessions.values() if not s.moving]
@@ -418,4 +510,4 @@
         accepting_over = self._now >= self._asked_to_leave_us + STOP_ACCEPTING_US
         moved = all(not w.sessions for w in self._watches.values())
         if (accepting_over and moved and not waiting) or self._now >= self._stop_us + SECOND // 5:
-            self._stopped.set()
+            self.stopped = True
--- a/sailrun/node/watch.py
+++ b/sailrun/node/watch.py
@@ -55,6 +55,10 @@
         self.slow = delay_us > least_us
         return delay_us / 1000
 
+    def at_rest(self) -> bool:
+        """Whether there is nothing to look at until a household speaks again."""
+        return not (self.slow or self._took or any(s.unanswered for s in self.sessions.values()))
+
     def silent(self, now_us: int) -> Iterable[FormSession]:
         """The form sessions here that hear nothing any more."""
         oldest = {s: s.unanswered[0] for s in self.sessions.values() if s.unanswered and not s.moving}
--- /dev/null
+++ b/sailrun/rebalance/balance.py
@@ -0,0 +1,412 @@
+"""Who is moved, and when. A pure state machine: what has happened and the time in, moves and datagrams out.
+
+A node acts on its own share of the load: of what a form server holds too much, it sheds as much as it holds
+of it itself. So nodes that hear nothing of each other still do not overshoot together. Which place a
+household would get is asked of the decision module every time; here it is only decided whether to move it.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+
+import mmh3
+
+from sailrun.interface import Backend, BackendState, ListKind, Outcome, Settings
+from sailrun.rebalance.gossip import BadDatagram, Hearsay, Teller, read
+from sailrun.rebalance.ledger import Key, Ledger, Standing
+from sailrun.rebalance.pace import Pace
+from sailrun.rebalance.terms import RebalanceTerms
+
+SECOND = 1_000_000
+LOOK_US = SECOND // 4
+RECOUNT_US = 5 * SECOND
+# A moved household is back, or will not come, after this; so long its place is spoken for.
+RETURN_US = 3 * SECOND
+# What a neighbour has begun to move is followed within this.
+FOLLOW_US = 3 * SECOND
+# So many households are asked for in a look, and one that has to stay is asked for again only after this.
+QUESTIONS, ASK_AGAIN_US = 24, 4 * SECOND
+# Without a move for so long there is nothing to be done: what is over is too heavy, or has nowhere to go.
+GIVE_UP_US, PAUSE_US = 15 * SECOND, 10 * SECOND
+# An excess that has gone is forgotten at this rate: a spell of it does not begin what a later one would not.
+FORGIVING = 0.05
+# Returns that this node did not bring about: so many, and this share of what stands, in so long are a storm.
+STORM_US, STORM_FEW, STORM_SHARE = 2 * SECOND, 4, 0.05
+# Set-ups that took this share of the wanted time, so many in so long, where there seemed to be room.
+SLOW_SHARE, SLOW_MANY, SLOW_US = 0.5, 2, 2 * SECOND
+
+# Where the decision module would place these connections if they came now: a form server, or None to stay.
+Elsewhere = Callable[[Sequence[str]], int | None]
+
+
+@dataclass(slots=True)
+class Orders:
+    """What a look has come to."""
+
+    moves: list[str] = field(default_factory=list)  # the connections to move
+    tell: bytes | None = None  # a datagram for all neighbours
+    notes: list[dict[str, object]] = field(default_factory=list)  # facts for log lines
+
+
+@dataclass(slots=True)
+class _Reserved:
+    household: Key
+    server: int
+    weight: float
+    until_us: int
+
+
+@dataclass(slots=True)
+class View:
+    """The warm fleet as this node sees it; loads are of the whole fleet, estimated from what is known."""
+
+    loads: dict[int, float]
+    shares: dict[int, float]  # each form server's share of the load, by its capacity
+    known: float  # the share of the nodes that the loads rest on, 0 to 1
+
+    @property
+    def imbalance(self) -> float:
+        """The busiest form server's load over its share; 0 where there is no load."""
+        return max((self.loads[n] / s for n, s in self.shares.items() if s > 0), default=0.0)
+
+
+class Rebalancer:
+    def __init__(self, terms: RebalanceTerms, settings: Settings, now_us: int) -> None:
+        self._terms = terms
+        self._nodes = settings.instances
+        self._cold_us = settings.cold_us
+        self._objectives = {c.name: c.objective_us for c in settings.classes}
+        self._rest_us = int(terms.rest_s * SECOND)
+        self._servers: dict[int, Backend] = {}
+        self.ledger = Ledger()
+        self._hearsay = Hearsay()
+        talks = terms.neighbours and settings.peer_messages and self._nodes > 1
+        self._teller = Teller(now_us // 1000, int(terms.tell_s * SECOND)) if talks else None
+        self._pace = Pace(
+            terms.first_per_s / self._nodes,
+            terms.target_per_s / self._nodes,
+            terms.widening,
+            int(terms.hold_s * SECOND),
+            now_us,
+        )
+        self._reserved: list[_Reserved] = []
+        self._unsettled: dict[Key, int] = {}  # households with a connection on its way back, until when
+        self._asked: dict[Key, int] = {}  # households that had to stay, and when to ask again
+        self._named: dict[int, Key] = {}  # the households that stand here, by their hash
+        self._followed: dict[int, int] = {}  # those that neighbours have begun to move, until when
+        self._moved_us: deque[int] = deque()
+        self._returns_us: deque[int] = deque()
+        self._slow_us: dict[int, deque[int]] = {}
+        self._look_us = now_us + LOOK_US
+        self._recount_us = now_us + RECOUNT_US
+        self._excess_s = 0.0  # what was over the start, times its seconds
+        self._active = False
+        self._useful_us = now_us  # the last move, or the begin
+        self._paused_until_us = 0
+        self._moved = 0
+        self._leaving = False
+        self._notes: list[dict[str, object]] = []
+
+    # ------------------------------------------------------------------ what has happened
+
+    def listed(self, now_us: int, kind: ListKind, entries: Iterable[Backend]) -> None:
+        """News of the roster."""
+        named = {entry.id: entry for entry in entries}
+        for number, entry in named.items():
+            old = self._servers.get(number)
+            if old is not None and old.state is BackendState.READY and entry.state is not BackendState.READY:
+                self._trouble(now_us, "drain")
+        if kind is ListKind.DELTA:
+            self._servers.update(named)
+            return
+        if any(s.state is BackendState.READY and n not in named for n, s in self._servers.items()):
+            self._trouble(now_us, "gone")
+        self._servers = named
+
+    def roster_lost(self, now_us: int) -> None:
+        self._trouble(now_us, "roster-lost")
+
+    def arrived(self, now_us: int, returning: bool) -> None:
+        """A household asks for a session."""
+        if not returning:
+            return
+        self._returns_us.append(now_us)
+        _forget(self._returns_us, now_us - STORM_US)
+        _forget(self._moved_us, now_us - STORM_US - RETURN_US)
+        usual = STORM_FEW + 3 * len(self._moved_us) + STORM_SHARE * len(self.ledger.standing)
+        if len(self._returns_us) > usual:
+            self._trouble(now_us, "returns")
+
+    def stands(
+        self,
+        now_us: int,
+        name: str,
+        server: int,
+        household: Key,
+        request_class: str,
+        returned: bool,
+        took_us: int | None,
+    ) -> None:
+        """A session stands; `returned`: back from a break or a move. `took_us` is None where it stood before
+        this node started.
+        """
+        self.ledger.stands(Standing(name, household, request_class, server, now_us, returned))
+        self._unsettled.pop(household, None)
+        if self._teller is not None:
+            self._named[_hash(household)] = household
+        for n, reserved in enumerate(self._reserved):
+            if reserved.household == household:
+                del self._reserved[n]
+                break
+        if took_us is not None and took_us >= SLOW_SHARE * self._objectives.get(request_class, math.inf):
+            late = self._slow_us.setdefault(server, deque())
+            late.append(now_us)
+            _forget(late, now_us - SLOW_US)
+            if len(late) >= SLOW_MANY and self._has_room(now_us, server):
+                self._trouble(now_us, "slow-set-ups")
+
+    def loaded(self, name: str, load: float) -> None:
+        self.ledger.loaded(name, load)
+
+    def ended(self, now_us: int, name: str, outcome: Outcome) -> None:
+        """A session that stood has ended here. One that did not end well comes back."""
+        one = self.ledger.ended(name)
+        if one is not None and outcome is not Outcome.OK:
+            self._unsettled[one.household] = now_us + RETURN_US
+
+    def turned_away(self, now_us: int, server: int) -> None:
+        """A form server refused a set-up."""
+        if self._has_room(now_us, server):
+            self._trouble(now_us, "turned-away")
+
+    def refused(self, now_us: int) -> None:
+        """A household was refused: there is no place for those who come by themselves."""
+        self._trouble(now_us, "refusals")
+
+    def heard(self, now_us: int, sender: int, content: bytes) -> None:
+        """A neighbour's datagram. One that is none of ours is noted, and changes nothing."""
+        try:
+            telling = read(content)
+        except BadDatagram as error:
+            self._notes.append({"state": "datagram-rejected", "neighbour": sender, "why": str(error)})
+            return
+        if self._hearsay.heard(now_us, sender, telling):
+            for household in telling.moved:
+                if household in self._named:
+                    self._followed[household] = now_us + FOLLOW_US
+
+    def leave(self) -> None:
+        """This node restarts: its households are sent away by another rule from now on."""
+        self._leaving = True
+
+    def _trouble(self, now_us: int, why: str) -> None:
+        if self._pace.close(now_us, why) and self._active:
+            self._notes.append({"state": "held", "why": why, "moved": self._moved})
+
+    # ------------------------------------------------------------------ looks
+
+    def due(self, now_us: int) -> bool:
+        return now_us >= self._look_us
+
+    def look(self, now_us: int, elsewhere: Elsewhere) -> Orders:
+        """What is to be done now; to be called when `due`."""
+        self._look_us = now_us + LOOK_US
+        if now_us >= self._recount_us:
+            self._recount_us = now_us + RECOUNT_US
+            self.ledger.recount()
+            self._unsettled = {k: until for k, until in self._unsettled.items() if until > now_us}
+            self._asked = {k: until for k, until in self._asked.items() if until > now_us}
+            self._named = {h: k for h, k in self._named.items() if self.ledger.where(k)}
+        self._reserved = [r for r in self._reserved if r.until_us > now_us]
+        orders = Orders()
+        if self._leaving:
+            return orders
+        if self._teller is not None:
+            own = {n: held.load for n, held in self.ledger.held.items()}
+            orders.tell = self._teller.due(now_us, self.ledger.told, own, self.ledger.unit())
+        view = self.view(now_us)
+        active = self._judge(now_us, view)
+        if active or self._followed:
+            self._choose(now_us, view, elsewhere, orders, active)
+        orders.notes, self._notes = self._notes, []
+        return orders
+
+    def warm(self, now_us: int) -> dict[int, Backend]:
+        return {
+            number: server
+            for number, server in self._servers.items()
+            if server.state is BackendState.READY
+            and (server.started_us <= 0 or now_us - server.started_us >= self._cold_us)
+        }
+
+    def view(self, now_us: int) -> View:
+        warm = self.warm(now_us)
+        own = {n: held.load for n, held in self.ledger.held.items() if n in warm}
+        heard, voices = self._hearsay.loads(now_us, self.ledger.told, warm)
+        known = min(1.0, (1.0 + voices) / self._nodes)
+        loads = {n: (own.get(n, 0.0) + heard.get(n, 0.0)) / known for n in warm}
+        capacity = sum(s.capacity for s in warm.values())
+        total = sum(loads.values())
+        shares = {n: total * s.capacity / capacity for n, s in warm.items()} if capacity > 0 else {}
+        return View(_shrunk(loads, shares, self.ledger.unevenness * (1.0 - known) / known), shares, known)
+
+    def _has_room(self, now_us: int, server: int) -> bool:
+        view = self.view(now_us)
+        return server in view.shares and view.loads[server] < self._terms.fill_to * view.shares[server]
+
+    def _judge(self, now_us: int, view: View) -> bool:
+        """Whether households are being moved at present. Begins late and ends early: in between, a fleet that
+        is neither is left alone.
+        """
+        if not self._active:
+            over = view.imbalance - self._terms.start_at
+            self._excess_s += (over if over > 0 else -FORGIVING) * LOOK_US / SECOND
+            self._excess_s = max(0.0, self._excess_s)
+            if self._excess_s < self._terms.patience_s or over <= 0 or now_us < self._paused_until_us:
+                return False
+            self._active, self._moved, self._useful_us = True, 0, now_us
+            self._asked.clear()
+            self._pace.begin(now_us)
+            self._notes.append({"state": "begun", "imbalance": round(view.imbalance, 2)})
+            return True
+        done = all(self._excess(view, n) <= 0 for n in view.shares)
+        if self._pace.shut(now_us):
+            self._useful_us = now_us  # held, not in vain
+        if done or now_us - self._useful_us >= GIVE_UP_US:
+            self._active, self._excess_s = False, 0.0
+            self._paused_until_us = now_us + PAUSE_US
+            state = "balanced" if done else "nothing-to-move"
+            self._notes.append({"state": state, "imbalance": round(view.imbalance, 2), "moved": self._moved})
+            return False
+        return True
+
+    def _excess(self, view: View, number: int) -> float:
+        """What a form server holds beyond what is left in peace, in the whole fleet."""
+        return view.loads[number] - self._terms.stop_at * view.shares[number]
+
+    def _choose(self, now_us: int, view: View, elsewhere: Elsewhere, orders: Orders, active: bool) -> None:
+        """Heaviest first, so that few are moved, and households that stand whole before scattered ones."""
+        reserved: dict[int, float] = {}
+        for one in self._reserved:
+            reserved[one.server] = reserved.get(one.server, 0.0) + one.weight
+        room = {
+            n: self._terms.fill_to * share - view.loads[n] - reserved.get(n, 0.0)
+            for n, share in view.shares.items()
+        }
+        targets = sum(1 for free in room.values() if free > 0)
+        allowed = self._pace.allowance(now_us, view.imbalance, targets)
+        if allowed <= 0:
+            return
+        allowed -= self._follow(now_us, room, elsewhere, orders)
+        questions = QUESTIONS if active else 0
+        over = [n for n in view.shares if self._excess(view, n) > 0]
+        for number in sorted(over, key=lambda n: (-self._excess(view, n), n)):
+            held = self.ledger.held.get(number)
+            if held is None:
+                continue
+            # This node's part of what is too much there.
+            excess = self._excess(view, number) * held.load / view.loads[number]
+            for household, members in self._candidates(now_us, number):
+                if allowed <= 0 or questions <= 0:
+                    return
+                if excess <= 0:
+                    break
+                weight = self.ledger.weight(members)
+                # One heavier than what is to go, or than this node's part of the room, goes by lot: so all
+                # nodes together move about as much as they should. The lot is the household's own, the same
+                # at every node.
+                lot = weight * _hash(household) / 2**32
+                if lot > excess:
+                    continue
+                questions -= 1
+                target = elsewhere(list(members))
+                free = room.get(target, 0.0) if target is not None else 0.0
+                if target is None or weight > free or lot > free * max(1.0 / self._nodes, view.known):
+                    self._asked[household] = now_us + ASK_AGAIN_US
+                    continue
+                self._move(now_us, household, members, target, weight, orders)
+                room[target] -= weight
+                excess -= weight
+                allowed -= len(members)
+
+    def _follow(self, now_us: int, room: dict[int, float], elsewhere: Elsewhere, orders: Orders) -> int:
+        """Moves what is left here of households that neighbours have begun to move; returns how many."""
+        moved = 0
+        followed, self._followed = self._followed, {}
+        for hashed, until_us in followed.items():
+            household = self._named.get(hashed)
+            if household is None or until_us <= now_us:
+                continue
+            for number in self.ledger.where(household):
+                members = self.ledger.movable(number, household, now_us - self._rest_us)
+                target = elsewhere(list(members)) if members else None
+                if target is not None and room.get(target, 0.0) > 0:
+                    weight = self.ledger.weight(members)
+                    self._move(now_us, household, members, target, weight, orders)
+                    room[target] -= weight
+                    moved += len(members)
+        return moved
+
+    def _candidates(self, now_us: int, number: int) -> list[tuple[Key, dict[str, Standing]]]:
+        ledger = self.ledger
+        found = [
+            (household, members)
+            for household in ledger.held[number].households
+            if self._unsettled.get(household, 0) <= now_us
+            and self._asked.get(household, 0) <= now_us
+            and (members := ledger.movable(number, household, now_us - self._rest_us))
+        ]
+
+        def order(item: tuple[Key, dict[str, Standing]]) -> tuple[bool, float, Key]:
+            household, members = item
+            return not ledger.whole(household), -ledger.weight(members) / len(members), household
+
+        return sorted(found, key=order)
+
+    def _move(
+        self,
+        now_us: int,
+        household: Key,
+        members: dict[str, Standing],
+        target: int,
+        weight: float,
+        orders: Orders,
+    ) -> None:
+        for one in members.values():
+            one.leaving = True
+            orders.moves.append(one.id)
+            self._moved_us.append(now_us)
+        self._pace.spend(len(members))
+        self._reserved.append(_Reserved(household, target, weight, now_us + RETURN_US))
+        self._unsettled[household] = now_us + RETURN_US
+        if self._teller is not None:
+            self._teller.moved(_hash(household))
+        self._moved += len(members)
+        self._useful_us = now_us
+
+
+def _hash(household: Key) -> int:
+    """The same 32 bits at every node."""
+    return mmh3.hash(household, signed=False)
+
+
+def _shrunk(loads: dict[int, float], shares: dict[int, float], noise: float) -> dict[int, float]:
+    """A node that knows only part of the load sees differences that are chance. What of the spread between
+    form servers chance explains is taken off every difference (the estimator of James and Stein): where it
+    explains all, as in a fleet in balance, none is left. `noise`: the variance of an estimate over its mean.
+    """
+    ratios = {n: loads[n] / share for n, share in shares.items() if share > 0}
+    if noise <= 0 or not ratios:
+        return loads
+    seen = sum((ratio - 1.0) ** 2 for ratio in ratios.values())
+    chance = sum(noise / shares[n] for n in ratios)
+    real = max(0.0, 1.0 - chance / seen) if seen > 0 else 0.0
+    return {n: shares[n] * (1.0 + real * (ratios[n] - 1.0)) if n in ratios else loads[n] for n in loads}
+
+
+def _forget(times_us: deque[int], before_us: int) -> None:
+    while times_us and times_us[0] < before_us:
+        times_us.popleft()
--- /dev/null
+++ b/sailrun/rebalance/pace.py
@@ -0,0 +1,60 @@
+"""How fast may be moved: a budget of connections a second, this node's share of the fleet's.
+
+It widens while the balance becomes better, and closes at once at a sign of trouble; after that it begins
+anew, at the first pace. Bounded by what the form servers that are to take the moved can set up.
+"""
+
+from __future__ import annotations
+
+SECOND = 1_000_000
+# What was not used of the budget lapses after so long: no burst is saved up.
+SAVED_US = SECOND
+
+
+class Pace:
+    def __init__(self, first: float, target: float, widening: float, hold_us: int, now_us: int) -> None:
+        """Rates in connections a second, of this node alone."""
+        self._first, self._target, self._widening, self._hold_us = first, target, widening, hold_us
+        self.rate = first
+        self._tokens = 0.0
+        self._at_us = self._widened_us = now_us
+        self._shut_until_us = now_us
+        self._best = 0.0  # the least imbalance since the pace was last set
+        self.why_shut = ""
+
+    def close(self, now_us: int, why: str) -> bool:
+        """Trouble; True if the pace was open until now."""
+        was_open = now_us >= self._shut_until_us
+        self._shut_until_us = now_us + self._hold_us
+        self.rate, self._tokens, self._best = self._first, 0.0, 0.0
+        self.why_shut = why
+        return was_open
+
+    def shut(self, now_us: int) -> bool:
+        return now_us < self._shut_until_us
+
+    def begin(self, now_us: int) -> None:
+        """Moving begins: slowly, whatever it had come to the last time."""
+        self.rate, self._tokens, self._best = self._first, 1.0, 0.0
+        self._at_us = self._widened_us = now_us
+
+    def allowance(self, now_us: int, imbalance: float, targets: int) -> int:
+        """How many connections may be moved now, to so many form servers with room."""
+        if self.shut(now_us):
+            self._at_us = now_us
+            return 0
+        most = self._target * targets
+        if now_us - self._widened_us >= SECOND:
+            self._widened_us = now_us
+            if not self._best or imbalance < self._best:
+                self.rate *= self._widening
+                self._best = imbalance
+        self.rate = min(self.rate, max(most, self._first))
+        seconds = min(now_us - self._at_us, SAVED_US) / SECOND
+        self._at_us = now_us
+        self._tokens = min(self._tokens + self.rate * seconds, max(1.0, self.rate * SAVED_US / SECOND))
+        return int(self._tokens) if targets else 0
+
+    def spend(self, connections: int) -> None:
+        """Below 0 for a household larger than what was left: the next ones wait for longer."""
+        self._tokens -= connections
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -78,6 +78,12 @@
         """The next line; empty once the other side has ended."""
         return self.file.readline().decode().rstrip("\r\n")
 
+    def end(self) -> None:
+        """Ends the connection also while another thread reads, which holds the file's lock."""
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+        self.close()
+
     def close(self) -> None:
         self.file.close()
         self.sock.close()
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -32,6 +32,7 @@
             assert node.id not in ("open", "print", "hash", "id", "input")
     assert imported <= {
         "__future__",
+        "array",
         "collections",
         "collections.abc",
         "math",
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -62,7 +62,7 @@
         household = running.ask()
         assert household.hear() == "UP r1"
         form_server.peers[0].say("BYE")
-        form_server.peers[0].close()
+        form_server.peers[0].end()
         assert household.hear() == "BYE"
         assert household.hear() == ""
         running.logged("ended", "reason=served")
