--- a/sailrun/cli.py
+++ b/sailrun/cli.py
@@ -4,6 +4,7 @@
 
 import os
 import sys
+from dataclasses import replace
 from importlib import metadata
 from pathlib import Path
 from typing import Annotated
@@ -26,6 +27,10 @@
 ConfigPath = Annotated[
     Path | None, typer.Option("--config", envvar="RELAY_CONFIG", help="The platform's JSON.")
 ]
+OperatorPath = Annotated[
+    Path | None,
+    typer.Option("--operator", envvar="SAILRUN_OPERATOR", help="An operator's TOML: what is on."),
+]
 SidecarPath = Annotated[
     Path | None, typer.Option("--sidecar", help="A sidecar's TOML; then no platform is asked.")
 ]
@@ -42,22 +47,33 @@
 @app.callback(invoke_without_command=True)
 def main(context: typer.Context) -> None:
     if context.invoked_subcommand is None:
-        path = os.environ.get("RELAY_CONFIG")
-        serve(Path(path) if path else None)
+        path, operator = (os.environ.get(name) for name in ("RELAY_CONFIG", "SAILRUN_OPERATOR"))
+        serve(Path(path) if path else None, None, Path(operator) if operator else None)
 
 
 @app.command()
-def serve(config: ConfigPath = None, sidecar: SidecarPath = None) -> None:
+def serve(config: ConfigPath = None, sidecar: SidecarPath = None, operator: OperatorPath = None) -> None:
     """Serve households until told to stop (also without any sub-command)."""
     from sailrun.serve import run
 
     def read() -> NodeConfig:
+        told = read_main()
+        if operator is None:
+            return told
+        from sailrun.operator import read_operator
+
+        return replace(told, operator=read_operator(operator))
+
+    def read_main() -> NodeConfig:
         if sidecar is not None:
             from sailrun.sidecar import read_sidecar
 
             return read_sidecar(sidecar)
         if config is None:
-            raise complain("RELAY_CONFIG: is not set, and neither --config nor --sidecar was given")
+            raise complain(
+                "RELAY_CONFIG: is not set, and neither --config nor --sidecar was given; to see nodes work "
+                "without a platform: sailrun lab run quickstart --out FOLDER"
+            )
         return read_node_config(config)
 
     try:
@@ -69,17 +85,36 @@
 
 
 @config_app.command("check")
-def check(path: Path) -> None:
-    """Check a sidecar's file; a fault is one line that names the file and the key."""
+def check(
+    path: Path,
+    operator: Annotated[bool, typer.Option("--operator", help="It is an operator's file.")] = False,
+) -> None:
+    """Check a sidecar's or an operator's file; a fault is one line that names the file and the key."""
     from sailrun.sidecar import read_sidecar
 
     try:
+        if operator:
+            from sailrun.operator import read_operator
+
+            enabled = [name for name, terms in read_operator(path).tables() if terms.enabled]
+            print(f"{path}: switches on {', '.join(enabled) or 'nothing'}")
+            return
         told = read_sidecar(path)
     except BadConfig as error:
         raise complain(error) from None
     print(f"{path}: fit to serve '{told.name}'")
 
 
+@config_app.command("schema")
+def schema() -> None:
+    """Print the JSON schema of an operator's file."""
+    import json
+
+    from sailrun.operator import schema
+
+    print(json.dumps(schema(), indent=2))
+
+
 @config_app.command("write")
 def write(
     application: str,
--- a/sailrun/config.py
+++ b/sailrun/config.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from sailrun import wire
 from sailrun.connection import split_address
@@ -16,6 +16,9 @@
 from sailrun.roster import BadRoster, read_news
 from sailrun.validate import check_settings
 
+if TYPE_CHECKING:
+    from sailrun.operator import Operator
+
 Address = tuple[str, int]
 
 
@@ -74,6 +77,7 @@
     groups: bool  # whether `g` of a first line names a household's group
     descriptors: int | None = None  # how many this process may hold, where the platform says so
     amqp: AmqpConfig | None = None  # off on the platform
+    operator: Operator | None = None  # subsystems that the operator's own file switches on
 
 
 def flatten(value: Any, path: str = "") -> Iterator[tuple[str, str]]:
--- a/sailrun/lab/experiments.py
+++ b/sailrun/lab/experiments.py
@@ -8,9 +8,9 @@
 
 from sailrun.lab.form_servers import FormServerModel
 from sailrun.lab.terms import SECOND, WorldTerms
-from sailrun.lab.virtual import VirtualDay
+from sailrun.lab.world import World
 
-Script = Callable[[VirtualDay], None]
+Script = Callable[[World[Any]], None]
 Holders = Callable[[Sequence[FormServerModel]], Sequence[FormServerModel]]
 
 
@@ -22,24 +22,24 @@
     return servers[: max(1, round(len(servers) / 3))]
 
 
-def _nothing(day: VirtualDay) -> None:
+def _nothing(day: World[Any]) -> None:
     pass
 
 
-def _picked(day: VirtualDay, share: float, least: int = 1) -> list[FormServerModel]:
+def _picked(day: World[Any], share: float, least: int = 1) -> list[FormServerModel]:
     """Some form servers, by the seed."""
     servers = list(day.servers.values())
     count = max(least, round(share * len(servers)))
     return [servers.pop(day.luck.below(len(servers))) for _ in range(min(count, len(servers) - 1))]
 
 
-def _outage(day: VirtualDay) -> None:
+def _outage(day: World[Any]) -> None:
     """A fifth vanishes and comes back cold; all of it within half a minute."""
     for server in _picked(day, 0.2):
         day.time.after(5 * SECOND, day.vanish, server, day.luck.whole((11 * SECOND, 20 * SECOND)))
 
 
-def _everything(day: VirtualDay) -> None:
+def _everything(day: World[Any]) -> None:
     """Each trouble once, at times and places by the seed: what the rules have to stand."""
     luck = day.luck
     server, other, third = (_picked(day, 0.0)[0] for _ in range(3))
@@ -57,7 +57,7 @@
         day.time.after(luck.whole((32 * SECOND, 40 * SECOND)), day.kill, slots[luck.below(len(slots))])
 
 
-def _roster_back(day: VirtualDay) -> None:
+def _roster_back(day: World[Any]) -> None:
     day.roster.reachable = True
 
 
--- a/sailrun/lab/virtual.py
+++ b/sailrun/lab/virtual.py
@@ -10,33 +10,24 @@
 from typing import Any
 
 from sailrun.config import read_settings
-from sailrun.decide import key_hash, server_hash
-from sailrun.interface import BackendState, ListKind, Outcome, Settings
-from sailrun.lab.chance import Stream
-from sailrun.lab.checks import Check, RuleBook
-from sailrun.lab.figures import fewest_moves
+from sailrun.interface import ListKind, Outcome, Settings
+from sailrun.lab.checks import Check
 from sailrun.lab.form_servers import FormServerModel, Held, Phase
-from sailrun.lab.households import Client, Population
-from sailrun.lab.records import Records
+from sailrun.lab.households import Client
 from sailrun.lab.scheduler import BEGIN_US, Scheduler, VirtualClock
 from sailrun.lab.terms import SECOND, WorldTerms
+from sailrun.lab.world import RosterBook, Slot, World
 from sailrun.node.core import Node
-from sailrun.node.session import FormServer, FormSession, Placement, RosterNews
+from sailrun.node.session import FormSession, Placement, RosterNews
 from sailrun.rebalance.balance import Elsewhere, Orders, Rebalancer
 from sailrun.rebalance.terms import RebalanceTerms
 
-MASK = 0xFFFFFFFF
-# A household's further connections come within so long of its first.
-MEMBERS_US = 5 * SECOND
 # A client is moved, and back at the front, within so long.
 GAP_US = (20_000, 200_000)
-# A draining form server that still holds anybody sends them away after this, and ends.
-DRAINED_US = 8 * SECOND
 RESTART_US = SECOND
 ADMITTED_US = (300_000, 900_000)
 # A client's lines come every so often; at slow form servers the nodes' own are timed, one a second.
 LINE_US = 2 * SECOND
-SLOW_US = 10_000
 # What a session from before the day may take to stand.
 RESUME_US = 40 * SECOND
 KEPT_LOGS = ("rebalance", "silent", "decision", "fault", "leaving")
@@ -57,7 +48,7 @@
 class Visit:
     """A client's connection to a node: the front, in place of sockets. It is the core's `Household`."""
 
-    def __init__(self, day: VirtualDay, slot: Slot, client: Client, session: FormSession) -> None:
+    def __init__(self, day: VirtualDay, slot: VirtualSlot, client: Client, session: FormSession) -> None:
         self.day, self.slot, self.client, self.session = day, slot, client, session
         session.household = self
         self.asked_us = day.time.now_us
@@ -228,13 +219,10 @@
         self.day.come_again(client, again_us, returning=client.returning)
 
 
-class Slot:
-    """A node's place: its name and address outlive the process."""
-
+class VirtualSlot(Slot):
     def __init__(self, index: int, zone: str) -> None:
-        self.index, self.zone = index, zone
+        super().__init__(index, zone)
         self.node: Node | None = None
-        self.admitted = False
         self.visits: dict[str, Visit] = {}
         self.moved: dict[str, int] = {}  # connections that its rebalancer has moved
         self.turn_us: int | None = None
@@ -246,7 +234,7 @@
 class NodeRoster:
     """The core's `Roster`, for one slot."""
 
-    def __init__(self, day: VirtualDay, slot: Slot) -> None:
+    def __init__(self, day: VirtualDay, slot: VirtualSlot) -> None:
         self._day, self._slot = day, slot
 
     def watch(self, active: bool) -> None:
@@ -258,73 +246,43 @@
         self._day.roster.call(self._slot)
 
 
-class RosterModel:
-    """The server roster: late, stale or out of reach."""
-
+class VirtualRoster(RosterBook):
     def __init__(self, day: VirtualDay) -> None:
+        super().__init__(day)
         self._day = day
-        self._chance = Stream(day.seed, "roster")
-        self.revision = 1
-        self.entries: dict[str, FormServer] = {}
-        self._changes: list[tuple[int, FormServer]] = []
-        self.reachable = True
-        self.late_us = 0
-
-    def change(self, server: FormServerModel, state: BackendState, notice: tuple[int, int]) -> None:
-        """Something happened to a server, now; the roster will know of it later."""
-        entry = self.entry(server, state)
-        self._day.time.after(self._chance.whole(notice) + self.late_us, self._publish, entry)
-
-    @staticmethod
-    def entry(server: FormServerModel, state: BackendState) -> FormServer:
-        address = ("127.0.0.1", 1)
-        return FormServer(server.name, address, state, server.zone, 0, 1.0, server.started_us)
-
-    def _publish(self, entry: FormServer) -> None:
-        self.revision += 1
-        self.entries[entry.name] = entry
-        self._changes.append((self.revision, entry))
-        if self.reachable:
-            for slot in self._day.slots:
-                if slot.watching:
-                    self.call(slot)
+
+    def published(self) -> None:
+        for slot in self._day.slots:
+            if slot.watching:
+                self.call(slot)
 
     def fail(self) -> None:
-        self.reachable = False
+        super().fail()
         for slot in self._day.slots:
             if slot.watching and slot.node is not None:
                 slot.watching = False
                 slot.node.roster_failed("out of reach")
 
-    def call(self, slot: Slot) -> None:
-        self._day.time.after(self._chance.whole(self._day.terms.call_us), self._answer, slot, slot.node)
+    def call(self, slot: VirtualSlot) -> None:
+        self._day.time.after(self.chance.whole(self._day.terms.call_us), self._answer, slot, slot.node)
 
-    def _answer(self, slot: Slot, node: Node | None) -> None:
+    def _answer(self, slot: VirtualSlot, node: Node | None) -> None:
         if node is None or slot.node is not node:
             return
         if not self.reachable:
             slot.watching = False
             node.roster_failed("out of reach")
             return
-        changed: dict[str, FormServer] = {}
-        for revision, entry in reversed(self._changes):
-            if revision <= slot.roster_revision:
-                break
-            changed.setdefault(entry.name, entry)
+        changed = self.since(slot.roster_revision)
         slot.roster_revision = self.revision
-        now_us = self._day.time.now_us
-        for entry in changed.values():
-            if entry.state is BackendState.READY:
-                self._day.rules.told_serving(slot.index, entry.name)
-            else:
-                self._day.rules.told_leaving(now_us, slot.index, entry.name)
-        node.roster_told(RosterNews(ListKind.DELTA, self.revision, tuple(changed.values())))
+        self.told(slot.index, changed)
+        node.roster_told(RosterNews(ListKind.DELTA, self.revision, tuple(changed)))
 
 
 class Datagrams:
     """The core's `Neighbours`, for one slot: late, or never."""
 
-    def __init__(self, day: VirtualDay, slot: Slot) -> None:
+    def __init__(self, day: VirtualDay, slot: VirtualSlot) -> None:
         self._day, self._slot = day, slot
 
     def tell(self, neighbour: int | None, content: bytes) -> None:
@@ -337,106 +295,54 @@
             if day.wire.random() >= day.terms.datagrams_lost:
                 day.time.after(day.wire.whole(day.terms.datagram_us), self._arrive, slot, content)
 
-    def _arrive(self, slot: Slot, content: bytes) -> None:
+    def _arrive(self, slot: VirtualSlot, content: bytes) -> None:
         if slot.node is not None:
             slot.node.neighbour_said(self._slot.index, content)
 
 
-class VirtualDay:
+class VirtualDay(World[VirtualSlot]):
     """One day. `script` is called once everything stands, and schedules what goes wrong."""
 
+    roster: VirtualRoster
+
     def __init__(
         self,
         terms: WorldTerms,
         seed: int,
         rebalance: RebalanceTerms,
-        script: Callable[[VirtualDay], None],
+        script: Callable[[World[Any]], None],
         holders: Callable[[Sequence[FormServerModel]], Sequence[FormServerModel]] = lambda servers: servers,
         told: Callable[[float], None] = lambda share: None,
     ) -> None:
-        self.terms, self.seed = terms, seed
-        self._rebalance, self._script, self._holders, self._progress = rebalance, script, holders, told
-        self.time = Scheduler()
-        self.chance = Stream(seed, "clients")
-        self.wire = Stream(seed, "network")
-        self.luck = Stream(seed, "troubles")
-        self.people = Population(terms, seed)
-        self.rules = RuleBook(BEGIN_US, terms.drain_grace_us)
-        self.faults = Check("no-fault-in-a-node")
-        self.records = Records()
-        self.servers: dict[int, FormServerModel] = {}
-        self.roster = RosterModel(self)
-        self.settings: dict[int, Settings] = {}
-        self.slots = [Slot(n, terms.zones[n % len(terms.zones)]) for n in range(terms.nodes)]
+        super().__init__(terms, seed, BEGIN_US, holders)
+        self._rebalance, self._script, self._progress = rebalance, script, told
+        self.time: Scheduler = Scheduler()
+        self.roster = VirtualRoster(self)
+        self.slots = [VirtualSlot(n, terms.zones[n % len(terms.zones)]) for n in range(terms.nodes)]
         self.visits: dict[str, Visit] = {}  # by request: all that are asking or standing
         self.moving: dict[int, int] = {}  # clients on their way after a move for balance
-        self.moves = self.datagrams = self.datagram_bytes = self.clients = self.fewest = 0
-        self.warm_s = 0  # when the last form server is warm again
-        self._wanting = [0] * len(terms.classes)
-        self._index = {c.name: n for n, c in enumerate(terms.classes)}
-        self._held: dict[int, list[int]] = {}  # standing connections by form server and class
+        self._settings: dict[int, Settings] = {}
         self._requests = 0
-        self._begun = False
-
-    @property
-    def second(self) -> float:
-        return (self.time.now_us - BEGIN_US) / SECOND
-
-    def note(self, what: str, node: int = -1, server: str = "", text: str = "") -> None:
-        at_us = self.time.now_us - BEGIN_US
-        self.records.events.add(at_us=at_us, what=what, node=node, server=server, text=text)
-
-    # ------------------------------------------------------------------ the whole day
 
     def run(self) -> list[Check]:
         """Plays the day; returns the rules and whether they held."""
-        self._build()
+        self.build()
         for slot in self.slots:
             self._start(slot)
-        self._populate()
+        self.populate()
         self.time.run(BEGIN_US + SECOND // 2)
-        held = [
-            [
-                (sum(one.load for one in members) + self.terms.household_cost * self.terms.unit, len(members))
-                for members in _households(server).values()
-            ]
-            for server in self.servers.values()
-        ]
-        self.fewest = fewest_moves(held)
-        self._script(self)
-        self.time.after(0, self._sample)
-        self.time.after(0, self._arrive)
+        self.begin(self._script)
         end_us = BEGIN_US + SECOND // 2 + int(self.terms.seconds * SECOND)
         while self.time.now_us < end_us:
             self.time.run(min(end_us, self.time.now_us + SECOND))
             self._progress((self.time.now_us - BEGIN_US) / (end_us - BEGIN_US))
         self.rules.end(self.time.now_us)
-        return [*self.rules.all(), self.faults]
-
-    def _build(self) -> None:
-        draws = Stream(self.seed, "form-servers")
-        for n in range(self.terms.form_servers):
-            number = (n * 0x9E3779B1 + self.seed * 0x85EBCA6B + 0x51ED270B) & MASK
-            while number in self.servers:
-                number = (number + 1) & MASK
-            server = FormServerModel(
-                self.terms,
-                number,
-                f"s-{number:08x}",
-                self.terms.zones[n % len(self.terms.zones)],
-                self.terms.cores * draws.between(self.terms.speed) * SECOND,
-                draws.between(self.terms.cold_from),
-                draws.whole(self.terms.cold_us),
-                at_us=self.time.now_us,
-            )
-            self.servers[number] = server
-            self._held[number] = [0] * len(self.terms.classes)
-            self.roster.entries[server.name] = self.roster.entry(server, BackendState.READY)
-
-    def _start(self, slot: Slot) -> None:
-        if slot.index not in self.settings:
-            self.settings[slot.index] = read_settings(self.terms.settings(slot.index))
-        settings = self.settings[slot.index]
+        return self.checks()
+
+    def _start(self, slot: VirtualSlot) -> None:
+        if slot.index not in self._settings:
+            self._settings[slot.index] = read_settings(self.terms.settings(slot.index))
+        settings = self._settings[slot.index]
         known = RosterNews(ListKind.CACHED, self.roster.revision, tuple(self.roster.entries.values()))
         slot.roster_revision = self.roster.revision
 
@@ -458,13 +364,13 @@
         node.start()
         self._arm(slot, node.due_us())
 
-    def _arm(self, slot: Slot, when_us: int) -> None:
+    def _arm(self, slot: VirtualSlot, when_us: int) -> None:
         if slot.turn_us is None or when_us < slot.turn_us:
             slot.turn_us = when_us
             slot.token += 1
             self.time.at(when_us, self._turn, slot, slot.token)
 
-    def _turn(self, slot: Slot, token: int) -> None:
+    def _turn(self, slot: VirtualSlot, token: int) -> None:
         node = slot.node
         if node is None or token != slot.token:
             return
@@ -477,63 +383,22 @@
 
     # ------------------------------------------------------------------ clients
 
-    def _populate(self) -> None:
-        """Those who stand when the day begins, each where its score would have it, none filled far over."""
-        holders = list(self._holders(list(self.servers.values())))
-        hashes = [(server_hash(s.number), s) for s in holders]
-        total = sum(s.capacity for s in holders)
-        expected = self.terms.households * (self.terms.household_cost * self.terms.unit)
-        expected += self.terms.connections * self.terms.unit
-        for _ in range(self.terms.households):
-            clients = self.people.household(self.time.now_us, 0)
-            key = key_hash(clients[0].household)
-            ranked = sorted(hashes, key=lambda pair: (-((pair[0] * key) & MASK), pair[1].number))
-            server = next(
-                (s for _, s in ranked if s.load <= 1.1 * expected * s.capacity / total), ranked[0][1]
-            )
-            for client in clients:
-                self._want(client)
-                slot = self._front(client)
-                if slot is not None:
-                    self._ask(slot, client, resumed_at=server)
-            # Sessions are booked at the next turn; meanwhile the load counts here.
-            server.load += sum(c.load for c in clients) + self.terms.household_cost * self.terms.unit
-        for server in holders:
-            server.load = 0.0
-
-    def _arrive(self) -> None:
-        for client in self.people.household(self.time.now_us, MEMBERS_US):
-            self.time.at(client.from_us, self._first, client)
-        self.time.after(int(self.chance.exponential(SECOND / self.people.arrivals_per_s)), self._arrive)
-
-    def _first(self, client: Client) -> None:
-        self._want(client)
-        self._knock(client)
-
-    def _want(self, client: Client) -> None:
-        self.clients += 1
-        self._wanting[self._index[client.terms.name]] += 1
-        self.time.at(client.until_us, self._want_no_more, client)
-
-    def _want_no_more(self, client: Client) -> None:
-        self._wanting[self._index[client.terms.name]] -= 1
-
-    def _front(self, client: Client) -> Slot | None:
-        near = [s for s in self.slots if s.admitted and s.zone == client.zone]
-        slots = near or [s for s in self.slots if s.admitted]
-        return slots[self.chance.below(len(slots))] if slots else None
-
-    def _knock(self, client: Client) -> None:
+    def knock(self, client: Client) -> None:
         if self.time.now_us >= client.until_us:
             return
-        slot = self._front(client)
+        slot = self.front(client)
         if slot is None or slot.node is None:
             client.failures += 1
-            self.time.after(client.again_us(self.chance, self.terms.rejoin_us), self._knock, client)
+            self.time.after(client.again_us(self.chance, self.terms.rejoin_us), self.knock, client)
             return
         self._ask(slot, client)
 
-    def _ask(self, slot: Slot, client: Client, resumed_at: FormServerModel | None = None) -> None:
+    def resume(self, client: Client, server: FormServerModel) -> None:
+        slot = self.front(client)
+        if slot is not None:
+            self._ask(slot, client, resumed_at=server)
+
+    def _ask(self, slot: VirtualSlot, client: Client, resumed_at: FormServerModel | None = None) -> None:
         assert slot.node is not None
         self._requests += 1
         client.tries += 1
@@ -558,7 +423,7 @@
 
     def come_again(self, client: Client, after_us: int, returning: bool = True) -> None:
         client.returning = returning
-        self.time.after(after_us, self._knock, client)
+        self.time.after(after_us, self.knock, client)
 
     def answered(self, visit: Visit, answer: str) -> None:
         now_us = self.time.now_us
@@ -574,9 +439,6 @@
             returning=visit.client.returning,
         )
 
-    def count(self, client: Client, server: FormServerModel, change: int) -> None:
-        self._held[server.number][self._index[client.terms.name]] += change
-
     # ------------------------------------------------------------------ what goes wrong
 
     def lose(self, server: FormServerModel, phase: Phase) -> None:
@@ -592,44 +454,17 @@
         client.failures += 1
         self.come_again(client, client.again_us(self.chance, self.terms.rejoin_us))
 
-    def crash(self, server: FormServerModel, back_after_us: int) -> None:
-        self.note("crash", server=server.name)
-        self.lose(server, Phase.DOWN)
-        self.roster.change(server, BackendState.GONE, self.terms.notice_us)
-        self.time.after(back_after_us, self._return, server)
-
-    def vanish(self, server: FormServerModel, back_after_us: int) -> None:
-        """The machine is cut off: no reset, no answer, until it returns as a new process."""
-        self.note("vanish", server=server.name)
-        server.advance(self.time.now_us)
-        server.phase = Phase.SILENT
+    def fallen_silent(self, server: FormServerModel) -> None:
         for request in server.held:
             self.time.after(self.luck.below(LINE_US), self.visits[request].speak)
-        self.roster.change(server, BackendState.GONE, self.terms.silent_notice_us)
-        self.time.after(back_after_us, self._return, server)
 
-    def _return(self, server: FormServerModel) -> None:
-        if server.phase is Phase.FALLEN:
-            return
-        self.lose(server, Phase.DOWN)
-        server.start(self.time.now_us)
-        self.warm_s = max(self.warm_s, int(self.second + server.cold_us / SECOND) + 1)
-        self.note("start", server=server.name)
-        self.roster.change(server, BackendState.READY, self.terms.notice_us)
-
-    def drain(self, server: FormServerModel, back_after_us: int) -> None:
-        self.note("drain", server=server.name)
-        server.draining = True
-        self.roster.change(server, BackendState.DRAINING, self.terms.notice_us)
-        self.time.after(DRAINED_US, self._drained, server, back_after_us)
-
-    def _drained(self, server: FormServerModel, back_after_us: int) -> None:
+    def send_away(self, server: FormServerModel) -> None:
         for request in list(server.held):
             self._break(self.visits[request], Outcome.CANCELLED)
-        self.note("drained", server=server.name)
-        server.stop(Phase.DOWN)
-        self.roster.change(server, BackendState.GONE, self.terms.notice_us)
-        self.time.after(back_after_us, self._return, server)
+
+    def shed(self, server: FormServerModel, requests: Sequence[str]) -> None:
+        for request in requests:
+            self._break(self.visits[request], Outcome.RESET)
 
     def drop(self, share: float, within_us: int) -> None:
         """A share of the clients drop and come again together."""
@@ -639,25 +474,25 @@
                 visit.end(Outcome.CANCELLED)
                 self.come_again(visit.client, self.luck.below(within_us))
 
-    def kill(self, slot: Slot) -> None:
+    def kill(self, slot: VirtualSlot) -> None:
         """A node is killed outright, and starts again from nothing."""
         self.note("kill", node=slot.index)
         slot.node = None
         self.rules.node_gone(slot.index)
         self.gone(slot)
 
-    def terminate(self, slot: Slot) -> None:
+    def terminate(self, slot: VirtualSlot) -> None:
         """A planned restart: newcomers for up to 0.4 s more."""
         self.note("terminate", node=slot.index)
         if slot.node is not None:
             slot.node.leave()
             self.time.after(self.luck.whole((200_000, 400_000)), self._shut_out, slot, slot.node)
 
-    def _shut_out(self, slot: Slot, node: Node) -> None:
+    def _shut_out(self, slot: VirtualSlot, node: Node) -> None:
         if slot.node is node:
             slot.admitted = False
 
-    def gone(self, slot: Slot) -> None:
+    def gone(self, slot: VirtualSlot) -> None:
         """The node's process has ended, with whatever still came through it."""
         planned, slot.node = slot.node is not None, None
         slot.admitted, slot.watching = False, False
@@ -674,78 +509,15 @@
         slot.visits.clear()
         self.time.after(RESTART_US, self._start_again, slot)
 
-    def _start_again(self, slot: Slot) -> None:
+    def _start_again(self, slot: VirtualSlot) -> None:
         self._start(slot)
         slot.admitted = False
         self.time.after(self.luck.whole(ADMITTED_US), self._admit, slot)
 
-    def _admit(self, slot: Slot) -> None:
+    def _admit(self, slot: VirtualSlot) -> None:
         slot.admitted = slot.node is not None
 
-    def look_after(self, server: FormServerModel) -> None:
-        """What a form server does by itself: it falls over, or drops its newest connections."""
-        if (server.phase is Phase.FALLEN and server.held) or (
-            server.phase is Phase.FALLEN and server.backlog
-        ):
-            self.rules.fell(self.time.now_us, server.name)
-            self.note("fallen", server=server.name)
-            self.lose(server, Phase.FALLEN)
-            self.roster.change(server, BackendState.GONE, self.terms.notice_us)
-        elif server.phase is Phase.UP:
-            for request in server.shed():
-                self._break(self.visits[request], Outcome.RESET)
-
-    # ------------------------------------------------------------------ a second
-
-    def _sample(self) -> None:
-        """What the second that begins now looks like."""
-        now_us, terms = self.time.now_us, self.terms
-        at_us = now_us - BEGIN_US
-        served = 0.0
-        warm_load = warm_capacity = 0.0
-        ratios: list[tuple[float, float]] = []
-        for server in self.servers.values():
-            server.advance(now_us)
-            self.look_after(server)
-            held = self._held[server.number]
-            if server.phase is Phase.UP:
-                for n, cls in enumerate(terms.classes):
-                    if held[n]:
-                        served += held[n] * cls.worth * server.answered_within(now_us, cls.message_us)
-                if server.message_us(now_us) >= SLOW_US:
-                    self._time_a_line(server)
-                if not server.cold(now_us) and not server.draining:
-                    warm_load += server.load
-                    warm_capacity += server.capacity
-                    ratios.append((server.load, server.capacity))
-            self.records.servers.add(
-                at_us=at_us,
-                server=server.name,
-                load=server.load,
-                capacity=server.present(now_us),
-                backlog_us=server.backlog,
-                standing=sum(held),
-                phase=server.phase.value,
-                draining=server.draining,
-                cold=server.cold(now_us),
-            )
-        mean = warm_load / len(ratios) if ratios else 0.0
-        imbalance = max(load for load, _ in ratios) / mean if mean else 0.0
-        self.records.seconds.add(
-            at_us=at_us,
-            imbalance=imbalance,
-            utilization=warm_load / warm_capacity if warm_capacity else 0.0,
-            busiest=max((load / capacity for load, capacity in ratios), default=0.0),
-            wanting=sum(self._wanting),
-            standing=sum(map(sum, self._held.values())),
-            asked=sum(n * c.worth for n, c in zip(self._wanting, terms.classes, strict=True)),
-            served=served,
-            moves=self.moves,
-            datagrams=self.datagrams,
-        )
-        self.time.after(SECOND, self._sample)
-
-    def _time_a_line(self, server: FormServerModel) -> None:
+    def slow(self, server: FormServerModel) -> None:
         """One line of each node's to a slow form server, and its answer."""
         seen: dict[int, None] = {}
         took_us = int(server.message_us(self.time.now_us))
@@ -765,10 +537,3 @@
 
     def net_us(self, here: str, there: str) -> int:
         return self.wire.whole(self.terms.near_us if here == there else self.terms.far_us)
-
-
-def _households(server: FormServerModel) -> dict[str, list[Any]]:
-    found: dict[str, list[Any]] = {}
-    for one in server.held.values():
-        found.setdefault(one.household, []).append(one)
-    return found
--- /dev/null
+++ b/sailrun/lab/world.py
@@ -0,0 +1,366 @@
+"""What both drivers share of a world: its form servers, its population, its roster's book and its records."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Sequence
+from typing import Any, Generic, Protocol, TypeVar
+
+from sailrun.decide import key_hash, server_hash
+from sailrun.interface import BackendState
+from sailrun.lab.chance import Stream
+from sailrun.lab.checks import Check, RuleBook
+from sailrun.lab.figures import fewest_moves
+from sailrun.lab.form_servers import FormServerModel, Phase
+from sailrun.lab.households import Client, Population
+from sailrun.lab.records import Records
+from sailrun.lab.terms import SECOND, WorldTerms
+from sailrun.node.session import FormServer
+
+MASK = 0xFFFFFFFF
+# A household's further connections come within so long of its first.
+MEMBERS_US = 5 * SECOND
+# A draining form server that still holds anybody sends them away after this, and ends.
+DRAINED_US = 8 * SECOND
+SLOW_US = 10_000
+
+
+class Time(Protocol):
+    """Virtual or real; in us."""
+
+    @property
+    def now_us(self) -> int: ...
+    def at(self, when_us: int, what: Callable[..., None], *facts: Any) -> None: ...
+    def after(self, wait_us: int, what: Callable[..., None], *facts: Any) -> None: ...
+
+
+class Slot:
+    """A node's place: its name and address outlive the process."""
+
+    def __init__(self, index: int, zone: str) -> None:
+        self.index, self.zone = index, zone
+        self.admitted = False  # whether clients are sent there
+
+
+S = TypeVar("S", bound=Slot)
+
+
+class RosterBook:
+    """What the roster knows: late, stale or out of reach. Handing it out is the driver's."""
+
+    def __init__(self, world: World[Any]) -> None:
+        self._world = world
+        self.chance = Stream(world.seed, "roster")
+        self.revision = 1
+        self.entries: dict[str, FormServer] = {}
+        self._changes: list[tuple[int, FormServer]] = []
+        self.reachable = True
+        self.late_us = 0
+
+    def change(self, server: FormServerModel, state: BackendState, notice: tuple[int, int]) -> None:
+        """Something happened to a server, now; the roster will know of it later."""
+        entry = self.entry(server, state)
+        self._world.time.after(self.chance.whole(notice) + self.late_us, self._publish, entry)
+
+    def entry(self, server: FormServerModel, state: BackendState) -> FormServer:
+        address = self._world.address_of(server)
+        return FormServer(server.name, address, state, server.zone, 0, 1.0, server.started_us)
+
+    def _publish(self, entry: FormServer) -> None:
+        self.revision += 1
+        self.entries[entry.name] = entry
+        self._changes.append((self.revision, entry))
+        if self.reachable:
+            self.published()
+
+    def since(self, revision: int) -> list[FormServer]:
+        """What has changed after a revision, each server once."""
+        changed: dict[str, FormServer] = {}
+        for changed_at, entry in reversed(self._changes):
+            if changed_at <= revision:
+                break
+            changed.setdefault(entry.name, entry)
+        return list(changed.values())
+
+    def told(self, node: int, entries: Sequence[FormServer]) -> None:
+        """A node has been told this: from now on the rules hold it to that."""
+        for entry in entries:
+            if entry.state is BackendState.READY:
+                self._world.rules.told_serving(node, entry.name)
+            else:
+                self._world.rules.told_leaving(self._world.time.now_us, node, entry.name)
+
+    def published(self) -> None:
+        """There is news for those that watch."""
+
+    def fail(self) -> None:
+        """It can't be reached until `reachable` is set again; watches end."""
+        self.reachable = False
+
+
+class World(ABC, Generic[S]):
+    """A world at a seed. The driver has the time, the nodes and the clients' connections."""
+
+    time: Time
+    roster: RosterBook
+
+    def __init__(
+        self,
+        terms: WorldTerms,
+        seed: int,
+        begin_us: int,
+        holders: Callable[[Sequence[FormServerModel]], Sequence[FormServerModel]],
+    ) -> None:
+        self.terms, self.seed, self.begin_us = terms, seed, begin_us
+        self._holders = holders
+        self.chance = Stream(seed, "clients")
+        self.wire = Stream(seed, "network")
+        self.luck = Stream(seed, "troubles")
+        self.people = Population(terms, seed)
+        self.rules = RuleBook(begin_us, terms.drain_grace_us)
+        self.faults = Check("no-fault-in-a-node")
+        self.records = Records()
+        self.servers: dict[int, FormServerModel] = {}
+        self.slots: list[S] = []
+        self.moves = self.datagrams = self.datagram_bytes = self.clients = self.fewest = 0
+        self.warm_s = 0  # when the last form server is warm again
+        self._wanting = [0] * len(terms.classes)
+        self._index = {c.name: n for n, c in enumerate(terms.classes)}
+        self._held: dict[int, list[int]] = {}  # standing connections by form server and class
+
+    @property
+    def second(self) -> float:
+        return (self.time.now_us - self.begin_us) / SECOND
+
+    def note(self, what: str, node: int = -1, server: str = "", text: str = "") -> None:
+        at_us = self.time.now_us - self.begin_us
+        self.records.events.add(at_us=at_us, what=what, node=node, server=server, text=text)
+
+    def checks(self) -> list[Check]:
+        return [*self.rules.all(), self.faults]
+
+    def address_of(self, server: FormServerModel) -> tuple[str, int]:
+        return ("127.0.0.1", 1)
+
+    def build(self) -> None:
+        draws = Stream(self.seed, "form-servers")
+        for n in range(self.terms.form_servers):
+            number = (n * 0x9E3779B1 + self.seed * 0x85EBCA6B + 0x51ED270B) & MASK
+            while number in self.servers:
+                number = (number + 1) & MASK
+            server = FormServerModel(
+                self.terms,
+                number,
+                f"s-{number:08x}",
+                self.terms.zones[n % len(self.terms.zones)],
+                self.terms.cores * draws.between(self.terms.speed) * SECOND,
+                draws.between(self.terms.cold_from),
+                draws.whole(self.terms.cold_us),
+                at_us=self.time.now_us,
+            )
+            self.servers[number] = server
+            self._held[number] = [0] * len(self.terms.classes)
+            self.roster.entries[server.name] = self.roster.entry(server, BackendState.READY)
+
+    def populate(self) -> None:
+        """Those who stand when the day begins, each where its score would have it, none filled far over."""
+        holders = list(self._holders(list(self.servers.values())))
+        hashes = [(server_hash(s.number), s) for s in holders]
+        total = sum(s.capacity for s in holders)
+        cost = self.terms.household_cost * self.terms.unit
+        expected = self.terms.households * cost + self.terms.connections * self.terms.unit
+        loads = dict.fromkeys(holders, 0.0)
+        for _ in range(self.terms.households):
+            clients = self.people.household(self.time.now_us, 0)
+            key = key_hash(clients[0].household)
+            ranked = sorted(hashes, key=lambda pair: (-((pair[0] * key) & MASK), pair[1].number))
+            room = (s for _, s in ranked if loads[s] <= 1.1 * expected * s.capacity / total)
+            server = next(room, ranked[0][1])
+            loads[server] += sum(c.load for c in clients) + cost
+            for client in clients:
+                self.want(client)
+                self.resume(client, server)
+
+    def begin(self, script: Callable[[World[Any]], None]) -> None:
+        """Everything stands: now the day runs its course."""
+        cost = self.terms.household_cost * self.terms.unit
+        held = [
+            [(sum(one.load for one in members) + cost, len(members)) for members in _households(s).values()]
+            for s in self.servers.values()
+        ]
+        self.fewest = fewest_moves(held)
+        script(self)
+        self.time.after(0, self._sample)
+        self.time.after(0, self._arrive)
+
+    def _arrive(self) -> None:
+        for client in self.people.household(self.time.now_us, MEMBERS_US):
+            self.time.at(client.from_us, self._first, client)
+        self.time.after(int(self.chance.exponential(SECOND / self.people.arrivals_per_s)), self._arrive)
+
+    def _first(self, client: Client) -> None:
+        self.want(client)
+        self.knock(client)
+
+    # ------------------------------------------------------------------ what the driver does
+
+    @abstractmethod
+    def resume(self, client: Client, server: FormServerModel) -> None:
+        """A connection from before the day, that a node takes over."""
+
+    @abstractmethod
+    def knock(self, client: Client) -> None:
+        """A client comes to the front."""
+
+    @abstractmethod
+    def lose(self, server: FormServerModel, phase: Phase) -> None:
+        """The process ends: everything it held breaks."""
+
+    @abstractmethod
+    def send_away(self, server: FormServerModel) -> None:
+        """It has drained: whoever is still there is sent away."""
+
+    @abstractmethod
+    def shed(self, server: FormServerModel, requests: Sequence[str]) -> None:
+        """It drops these connections."""
+
+    @abstractmethod
+    def drop(self, share: float, within_us: int) -> None:
+        """A share of the clients drop and come again together."""
+
+    @abstractmethod
+    def kill(self, slot: S) -> None:
+        """A node is killed outright, and starts again from nothing."""
+
+    @abstractmethod
+    def terminate(self, slot: S) -> None:
+        """A planned restart: newcomers for up to 0.4 s more."""
+
+    def fallen_silent(self, server: FormServerModel) -> None:
+        """Its machine is cut off."""
+
+    def slow(self, server: FormServerModel) -> None:
+        """Messages there take long, in this second."""
+
+    def want(self, client: Client) -> None:
+        self.clients += 1
+        self._wanting[self._index[client.terms.name]] += 1
+        self.time.at(client.until_us, self._want_no_more, client)
+
+    def _want_no_more(self, client: Client) -> None:
+        self._wanting[self._index[client.terms.name]] -= 1
+
+    def front(self, client: Client) -> S | None:
+        near = [s for s in self.slots if s.admitted and s.zone == client.zone]
+        slots = near or [s for s in self.slots if s.admitted]
+        return slots[self.chance.below(len(slots))] if slots else None
+
+    # ------------------------------------------------------------------ what goes wrong
+
+    def crash(self, server: FormServerModel, back_after_us: int) -> None:
+        self.note("crash", server=server.name)
+        self.lose(server, Phase.DOWN)
+        self.roster.change(server, BackendState.GONE, self.terms.notice_us)
+        self.time.after(back_after_us, self._return, server)
+
+    def vanish(self, server: FormServerModel, back_after_us: int) -> None:
+        """The machine is cut off: no reset, no answer, until it returns as a new process."""
+        self.note("vanish", server=server.name)
+        server.advance(self.time.now_us)
+        server.phase = Phase.SILENT
+        self.fallen_silent(server)
+        self.roster.change(server, BackendState.GONE, self.terms.silent_notice_us)
+        self.time.after(back_after_us, self._return, server)
+
+    def _return(self, server: FormServerModel) -> None:
+        if server.phase is Phase.FALLEN:
+            return
+        self.lose(server, Phase.DOWN)
+        server.start(self.time.now_us)
+        self.warm_s = max(self.warm_s, int(self.second + server.cold_us / SECOND) + 1)
+        self.note("start", server=server.name)
+        self.roster.change(server, BackendState.READY, self.terms.notice_us)
+
+    def drain(self, server: FormServerModel, back_after_us: int) -> None:
+        self.note("drain", server=server.name)
+        server.draining = True
+        self.roster.change(server, BackendState.DRAINING, self.terms.notice_us)
+        self.time.after(DRAINED_US, self._drained, server, back_after_us)
+
+    def _drained(self, server: FormServerModel, back_after_us: int) -> None:
+        self.send_away(server)
+        self.note("drained", server=server.name)
+        server.stop(Phase.DOWN)
+        self.roster.change(server, BackendState.GONE, self.terms.notice_us)
+        self.time.after(back_after_us, self._return, server)
+
+    def look_after(self, server: FormServerModel) -> None:
+        """What a form server does by itself: it falls over, or drops its newest connections."""
+        if server.phase is Phase.FALLEN and not server.fallen:
+            server.fallen = True
+            self.rules.fell(self.time.now_us, server.name)
+            self.note("fallen", server=server.name)
+            self.lose(server, Phase.FALLEN)
+            self.roster.change(server, BackendState.GONE, self.terms.notice_us)
+        elif server.phase is Phase.UP and (newest := server.shed()):
+            self.shed(server, newest)
+
+    # ------------------------------------------------------------------ a second
+
+    def count(self, client: Client, server: FormServerModel, change: int) -> None:
+        self._held[server.number][self._index[client.terms.name]] += change
+
+    def _sample(self) -> None:
+        """What the second that begins now looks like."""
+        now_us, terms = self.time.now_us, self.terms
+        at_us = now_us - self.begin_us
+        served = 0.0
+        warm_load = warm_capacity = 0.0
+        ratios: list[tuple[float, float]] = []
+        for server in self.servers.values():
+            server.advance(now_us)
+            self.look_after(server)
+            held = self._held[server.number]
+            if server.phase is Phase.UP:
+                for n, cls in enumerate(terms.classes):
+                    if held[n]:
+                        served += held[n] * cls.worth * server.answered_within(now_us, cls.message_us)
+                if server.message_us(now_us) >= SLOW_US:
+                    self.slow(server)
+                if not server.cold(now_us) and not server.draining:
+                    warm_load += server.load
+                    warm_capacity += server.capacity
+                    ratios.append((server.load, server.capacity))
+            self.records.servers.add(
+                at_us=at_us,
+                server=server.name,
+                load=server.load,
+                capacity=server.present(now_us),
+                backlog_us=server.backlog,
+                standing=sum(held),
+                phase=server.phase.value,
+                draining=server.draining,
+                cold=server.cold(now_us),
+            )
+        mean = warm_load / len(ratios) if ratios else 0.0
+        imbalance = max(load for load, _ in ratios) / mean if mean else 0.0
+        self.records.seconds.add(
+            at_us=at_us,
+            imbalance=imbalance,
+            utilization=warm_load / warm_capacity if warm_capacity else 0.0,
+            busiest=max((load / capacity for load, capacity in ratios), default=0.0),
+            wanting=sum(self._wanting),
+            standing=sum(map(sum, self._held.values())),
+            asked=sum(n * c.worth for n, c in zip(self._wanting, terms.classes, strict=True)),
+            served=served,
+            moves=self.moves,
+            datagrams=self.datagrams,
+        )
+        self.time.after(SECOND, self._sample)
+
+
+def _households(server: FormServerModel) -> dict[str, list[Any]]:
+    found: dict[str, list[Any]] = {}
+    for one in server.held.values():
+        found.setdefault(one.household, []).append(one)
+    return found
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -11,6 +11,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any, Protocol
 
 import anyio
@@ -152,6 +153,10 @@
     def probed(self, form_server: FormServer, outcome: i.Outcome, took_us: int) -> None:
         self._post(lambda: self._feed(i.ProbeEnded(form_server.number, outcome, took_us)))
 
+    def rebalance_with(self, rebalancer: Rebalancer | None) -> None:
+        """From now on; None: nobody is moved for balance any more."""
+        self._post(self._rebalance_with, rebalancer)
+
     def leave(self) -> None:
         """A planned restart begins: keep answering, spread the moves, be gone before the kill."""
         self._post(self._leave)
@@ -333,18 +338,8 @@
             self._feed(i.ConnectionOpened(session.id, placement.attempt, number, took_us))
         if self.rebalancer is not None:
             resumed = session.resumed_at is not None
-            household = session.group or session.key or session.id
-            self.rebalancer.stands(
-                self._now,
-                session.id,
-                number,
-                household,
-                session.request_class,
-                session.returning and not resumed,
-                None if resumed else took_us,
-            )
-            if session.load_hint:
-                self.rebalancer.loaded(session.id, session.load_hint)
+            returned = session.returning and not resumed
+            self._stands_for(self.rebalancer, session, number, returned, None if resumed else took_us)
 
     def _attempt_over(self, session: FormSession, placement: Placement, outcome: i.Outcome) -> None:
         if session.placement is not placement:
@@ -395,6 +390,11 @@
                 revision=news.revision,
                 form_servers=len(news.form_servers),
             )
+        if news.kind is not i.ListKind.DELTA:
+            named = {form_server.number for form_server in news.form_servers}
+            for number, known in self._form_servers.items():
+                if number not in named:
+                    self._form_servers[number] = replace(known, state=i.BackendState.GONE)
         for form_server in news.form_servers:
             self._form_servers[form_server.number] = form_server
         entries = tuple(s.as_backend() for s in news.form_servers)
@@ -446,6 +446,35 @@
         if self._stop_us:
             self._send_away()
 
+    def _rebalance_with(self, rebalancer: Rebalancer | None) -> None:
+        """A new one is told what stands. Whom an old one has moved it can't know: all may be among them."""
+        old, self.rebalancer = self.rebalancer, rebalancer
+        if rebalancer is None:
+            return
+        entries = tuple(server.as_backend() for server in self._form_servers.values())
+        rebalancer.listed(self._now, i.ListKind.FULL, entries)
+        for number, watch in self._watches.items():
+            for session in watch.sessions.values():
+                self._stands_for(rebalancer, session, number, True, None)
+                known = old.ledger.standing.get(session.id) if old is not None else None
+                if known is not None and known.load is not None:
+                    rebalancer.loaded(session.id, known.load)
+        if self.leaving:
+            rebalancer.leave()
+
+    def _stands_for(
+        self,
+        rebalancer: Rebalancer,
+        session: FormSession,
+        number: int,
+        returned: bool,
+        took_us: int | None,
+    ) -> None:
+        household = session.group or session.key or session.id
+        rebalancer.stands(self._now, session.id, number, household, session.request_class, returned, took_us)
+        if session.load_hint:
+            rebalancer.loaded(session.id, session.load_hint)
+
     def _rebalance(self, rebalancer: Rebalancer) -> None:
         try:
             orders = rebalancer.look(self._now, lambda names: self._module.elsewhere(self._now, names))
--- a/sailrun/operator.py
+++ b/sailrun/operator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +17,10 @@
 
     rebalance: RebalanceTerms = RebalanceTerms()
 
+    def tables(self) -> Iterator[tuple[str, RebalanceTerms]]:
+        """Every subsystem's name and terms."""
+        yield "rebalance", self.rebalance
+
 
 def read_operator(path: Path) -> Operator:
     """Raises BadConfig, naming the file and the key."""
--- a/sailrun/serve.py
+++ b/sailrun/serve.py
@@ -24,7 +24,7 @@
 
 # What a new file changes in a running node; the rest waits for its next start, but for what every
 # reading draws or finds anew.
-_TAKEN_OVER = ("listen", "amqp", "roster")
+_TAKEN_OVER = ("listen", "amqp", "roster", "operator")
 _ANEW = ("seed", "known")
 
 
@@ -44,11 +44,23 @@
         self._door, self._amqp_door = self._doors(config)
         self._roster, self._asking = self._roster_for(config), anyio.CancelScope()
         self.node.roster = self._roster
+        self._switch(config)
         self._datagrams: Datagrams | None = None
         if config.settings.peer_messages and config.peer_listen is not None:
             self._datagrams = Datagrams(self.node, config.peer_listen, config.peers, config.peers_all)
             self.node.neighbours = self._datagrams
 
+    def _switch(self, config: NodeConfig) -> None:
+        """Switches subsystems on or off, as the operator's file has them."""
+        if config.operator is None or not config.operator.rebalance.enabled:
+            self.node.rebalance_with(None)
+            return
+        # Loaded only where it is switched on.
+        from sailrun.rebalance.balance import Rebalancer
+
+        terms, now_us = config.operator.rebalance, self.node.clock.now_us()
+        self.node.rebalance_with(Rebalancer(terms, config.settings, now_us))
+
     def _doors(self, config: NodeConfig) -> tuple[FrontDoor | None, FrontDoor | None]:
         """The front doors of a configuration, listening but not open yet."""
         door = amqp_door = None
@@ -135,6 +147,8 @@
             self._door = self._exchange(self._door, new_door)
         if "amqp" in changed:
             self._amqp_door = self._exchange(self._amqp_door, new_amqp_door)
+        if "operator" in changed:
+            self._switch(config)
         if "roster" in changed:
             self._asking.cancel()
             self._roster, self._asking = self._roster_for(config), anyio.CancelScope()
