--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -9,9 +9,9 @@
 from __future__ import annotations
 
 import math
-from array import array
 from collections import deque
 from collections.abc import Callable, Iterator, Sequence
+from itertools import islice
 from random import Random
 
 import mmh3
@@ -198,11 +198,10 @@
             for server in self._servers.values():
                 if server.id not in named:
                     self._state(server, i.BackendState.GONE)
-        ready = [s for s in self._servers.values() if s.state is i.BackendState.READY]
-        self._ready = sorted(ready, key=lambda s: s.id)
-        self._hashes = int.from_bytes(
-            b"".join(s.hash.to_bytes(LANE, "little") for s in self._ready), "little"
-        )
+        listed = sorted(self._servers.values(), key=lambda s: s.id)
+        self._ready = [s for s in listed if s.state is i.BackendState.READY]
+        packed = b"".join(s.hash.to_bytes(LANE, "little") for s in self._ready)
+        self._hashes = int.from_bytes(packed, "little")
         self._lanes = int.from_bytes(MASK.to_bytes(LANE, "little") * len(self._ready), "little")
         self._recount()
         if event.kind is i.ListKind.CACHED:
@@ -272,8 +271,7 @@
         if hint is not None and hint > 0:
             self._told(request, hint)
         elif self._class_load:
-            known = self._class_load.get(request.cls.name)
-            request.load = known[0] if known else self._unit()
+            request.load = self._class_load.get(request.cls.name, (self._unit(), 0))[0]
 
     def _left(self, event: i.ClientLeft) -> None:
         request = self._requests.get(event.request)
@@ -320,9 +318,8 @@
         if request.attempts < self._set.max_attempts:
             # A silent backend must leave time for another attempt; where set-ups are slow everywhere, as
             # before a shared store that is overloaded, patience grows with what they take.
-            left_us = request.deadline_us - self._now
             patience_us = max(request.cls.objective_us, int(PATIENCE * self._setup_us))
-            until_us = self._now + min(left_us, patience_us)
+            until_us = min(until_us, self._now + patience_us)
         self._out.append(i.Send(request.id, server.id, until_us))
 
     def _choose(self, request: _Request) -> _Server | None:
@@ -345,10 +342,16 @@
         # healthy in reach, as when this relay's own link is cut, the best ejected one is tried after all.
         return spare or (last if self._capacity <= 0 else None)
 
-    def _scores(self, k: int) -> array[int]:
-        """One product gives all scores: no product of two 32-bit hashes leaves its lane."""
-        lanes = (self._hashes * k) & self._lanes
-        return array("q", lanes.to_bytes(LANE * len(self._ready), "little"))
+    def _ranked(self, k: int) -> Iterator[_Server]:
+        """The highest score first: one product gives all, few are compared beyond their top byte."""
+        lanes = ((self._hashes * k) & self._lanes).to_bytes(LANE * len(self._ready), "little")
+        tops = lanes[3::LANE]
+        for top in range(255, -1, -1) if len(tops) > 255 else sorted(set(tops), reverse=True):
+            n, found = tops.find(top), list[tuple[int, int]]()
+            while n >= 0:
+                found.append((-int.from_bytes(lanes[LANE * n : LANE * n + 4], "little"), n))
+                n = tops.find(top, n + 1)
+            yield from (self._ready[n] for _, n in sorted(found))  # the lowest id among equal scores
 
     def _order(self, request: _Request) -> Iterator[_Server]:
         """The best scores, highest first. A group whose load here makes up several fair loads is heavier
@@ -359,11 +362,8 @@
             fair = SPREAD * self._load / max(1, len(self._ready))
             spread = 1 + int(max(0.0, self._groups.get(request.hash, 0.0) - self._unit() / 2) / fair)
         first: list[_Server] = []
-        scores = self._scores(request.hash)
-        for _ in range(min(DEPTH, len(scores))):
-            n = scores.index(max(scores))  # the lowest id among equal scores
-            scores[n] = -1
-            first.append(self._ready[n])
+        for server in islice(self._ranked(request.hash), DEPTH):
+            first.append(server)
             if len(first) >= spread:
                 yield from sorted(first, key=lambda s: (-((s.hash * request.client) & MASK), s.id))
                 first, spread = [], 1
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -32,9 +32,9 @@
             assert node.id not in ("open", "print", "hash", "id", "input")
     assert imported <= {
         "__future__",
-        "array",
         "collections",
         "collections.abc",
+        "itertools",
         "math",
         "random",
         "mmh3",
