Tell neighbours nothing of an even fleet; price datagrams in the laboratory

A node tells only once its own part shows that the fleet is not even, or a neighbour says so; false alarms are followed by a growing quiet, and whoever hears nobody tells ever less. Chance is reckoned by households, and at rest taken off in full.

--- a/sailrun/lab/figures.py
+++ b/sailrun/lab/figures.py
@@ -10,8 +10,8 @@
 
 # Even means: the busiest warm form server holds at most this over the mean, for so many seconds on end.
 EVEN, EVEN_FOR = 1.25, 5
-# The price of a move, in the worth of one connection's whole day with the service (the brief's account).
-MOVE_PRICE = 0.02
+# Prices, in shares of the worth asked for (the account): each client moved once, one full message a request.
+MOVE_PRICE, MESSAGE_PRICE, FULL_MESSAGE = 0.02, 0.01, 256
 
 
 def quantile(values: Sequence[float], share: float) -> float:
@@ -45,7 +45,9 @@
     return moves
 
 
-def figures(records: Records, rebalanced: int, fewest: int, clients: int, warm_s: int) -> dict[str, float]:
+def figures(
+    records: Records, rebalanced: int, fewest: int, clients: int, warm_s: int, datagram_bytes: int
+) -> dict[str, float]:
     seconds = records.seconds.columns
     imbalances = seconds.get("imbalance", [])
     asked, served = sum(seconds.get("asked", [])), sum(seconds.get("served", []))
@@ -61,10 +63,11 @@
     answers = records.requests.columns.get("answer", [])
     moves = sum(1 for w in records.events.columns.get("what", []) if w == "move")
     price = MOVE_PRICE * moves / clients if clients else 0.0
+    price += MESSAGE_PRICE * datagram_bytes / FULL_MESSAGE / max(1, len(answers))
     service = served / asked if asked else 0.0
     result = {
         "service": service,
-        "service_after_moves": service - price,
+        "service_after_prices": service - price,
         "imbalance_at_start": imbalances[0] if imbalances else 0.0,
         "imbalance_at_end": sum(imbalances[-5:]) / max(1, len(imbalances[-5:])),
         "even_after_s": even_after(imbalances, warm_s),
--- a/sailrun/lab/run.py
+++ b/sailrun/lab/run.py
@@ -150,7 +150,7 @@
 
 
 def _found(day: World[Any]) -> dict[str, float]:
-    found = figures(day.records, day.moves, day.fewest, day.clients, day.warm_s)
+    found = figures(day.records, day.moves, day.fewest, day.clients, day.warm_s, day.datagram_bytes)
     found["datagrams_a_request"] = round(day.datagrams / max(1.0, found["requests"]), 4)
     found["datagram_bytes_a_request"] = round(day.datagram_bytes / max(1.0, found["requests"]), 2)
     pressures = [s.most_pressure for s in day.servers.values()]
--- a/sailrun/lab/sweep.py
+++ b/sailrun/lab/sweep.py
@@ -44,12 +44,12 @@
         if self.without:
             pairs = list(zip(self.summaries, self.without, strict=True))
             gains = [
-                (a.figures["service_after_moves"] or 0.0) - (b.figures["service_after_moves"] or 0.0)
+                (a.figures["service_after_prices"] or 0.0) - (b.figures["service_after_prices"] or 0.0)
                 for a, b in pairs
             ]
             worse = sum(1 for gain in gains if gain < 0)
             yield (
-                f"service after moves, gained by {self.against}: least {min(gains):.5f}, median "
+                f"service after prices, gained by {self.against}: least {min(gains):.5f}, median "
                 f"{quantile(gains, 0.5):.5f}, most {max(gains):.5f}; worse in {worse} of {len(gains)}"
             )
         yield f"{len(self.broken)} checks broken in {len(self.summaries) + len(self.without)} days"
--- a/sailrun/rebalance/balance.py
+++ b/sailrun/rebalance/balance.py
@@ -31,9 +31,15 @@
 QUESTIONS, ASK_AGAIN_US = 24, 4 * SECOND
 # Without a move for so long there is nothing to be done: what is over is too heavy, or has nowhere to go.
 GIVE_UP_US, PAUSE_US = 15 * SECOND, 10 * SECOND
-# Of what chance would explain of the spread, so much is taken off. All of it would be the best estimate of
-# every single load, but leaves the busiest where it is: four nodes that hear nothing came to 1.3 only.
-CHANCE = 0.4
+# Of what chance would explain of the spread, so much is taken off while households are moved. All of it, as
+# before, is the best estimate of every single load, but leaves the busiest where it is: four nodes that hear
+# nothing came to 1.3 only.
+CHANCE = 0.2
+# Of the patience, so much must be spent before a node tells its neighbours of what it sees.
+ALERT_AT = 0.5
+# An alarm that the neighbours' word shows to be chance: the next one is kept back for so long, twice as long
+# after each further one. What is bad enough to begin at once does not wait.
+QUIET_US, LONGEST_QUIET_US, MOST_KNOWN = 30 * SECOND, 480 * SECOND, 0.8
 # An excess that has gone is forgotten at this rate: a spell of it does not begin what a later one would not.
 FORGIVING = 0.05
 # Returns that this node did not bring about: so many, and this share of what stands, in so long are a storm.
@@ -87,9 +93,9 @@
         self._rest_us = int(terms.rest_s * SECOND)
         self._servers: dict[int, Backend] = {}
         self.ledger = Ledger()
-        self._hearsay = Hearsay()
+        self._hearsay = Hearsay(int(terms.tell_s * SECOND), self._nodes)
         talks = terms.neighbours and settings.peer_messages and self._nodes > 1
-        self._teller = Teller(now_us // 1000, int(terms.tell_s * SECOND)) if talks else None
+        self._teller = Teller(now_us // 1000, int(terms.tell_s * SECOND), self._nodes) if talks else None
         self._pace = Pace(
             terms.first_per_s / self._nodes,
             terms.most_per_s / self._nodes,
@@ -109,17 +115,20 @@
         self._look_us = now_us + LOOK_US
         self._recount_us = now_us + RECOUNT_US
         self._excess_s = 0.0  # what was over the start, times its seconds
-        self._active = False
+        self._active = self._uneven = False
+        self._quiet_until_us, self._quiet_us = 0, QUIET_US
         self._useful_us = now_us  # the last move, or the begin
         self._paused_until_us = 0
         self._moved = 0
-        self._leaving = False
+        self._leaving = self._roster_lost = False
+        self._unread: set[int] = set()  # neighbours whose last datagram could not be read
         self._notes: list[dict[str, object]] = []
 
     # ------------------------------------------------------------------ what has happened
 
     def listed(self, now_us: int, kind: ListKind, entries: Iterable[Backend]) -> None:
         """News of the roster."""
+        self._roster_lost = self._roster_lost and kind is ListKind.CACHED
         named = {entry.id: entry for entry in entries}
         for number, entry in named.items():
             old = self._servers.get(number)
@@ -133,6 +142,8 @@
         self._servers = named
 
     def roster_lost(self, now_us: int) -> None:
+        """Until it tells something again nobody is moved: who drains or is gone is not known."""
+        self._roster_lost = True
         self._trouble(now_us, "roster-lost")
 
     def arrived(self, now_us: int, returning: bool) -> None:
@@ -197,9 +208,16 @@
         try:
             telling = read(content)
         except BadDatagram as error:
-            self._notes.append({"state": "datagram-rejected", "neighbour": sender, "why": str(error)})
+            if sender not in self._unread:
+                self._unread.add(sender)
+                self._notes.append({"state": "datagram-rejected", "neighbour": sender, "why": str(error)})
             return
+        self._unread.discard(sender)
+        if self._teller is not None:
+            self._teller.answered()
         if self._hearsay.heard(now_us, sender, telling):
+            if telling.alert and self._teller is not None:
+                self._teller.heard_alert(now_us)
             for household in telling.moved:
                 if household in self._named:
                     self._followed[household] = now_us + FOLLOW_US
@@ -227,14 +245,17 @@
             self._asked = {k: until for k, until in self._asked.items() if until > now_us}
             self._named = {h: k for h, k in self._named.items() if self.ledger.where(k)}
         self._reserved = [r for r in self._reserved if r.until_us > now_us]
+        self._followed = {h: until for h, until in self._followed.items() if until > now_us}
         orders = Orders()
         if self._leaving:
             return orders
-        if self._teller is not None:
-            own = {n: held.load for n, held in self.ledger.held.items()}
-            orders.tell = self._teller.due(now_us, self.ledger.told, own, self.ledger.unit())
+        if self._roster_lost:
+            self._trouble(now_us, "roster-lost")
         view = self._seen = self.view(now_us)
         active = self._judge(now_us, view)
+        if self._teller is not None:
+            own = {n: held.load for n, held in self.ledger.held.items()}
+            orders.tell = self._teller.due(now_us, self.ledger.told, own, active or self._uneven)
         if active or self._followed:
             self._choose(now_us, view, elsewhere, orders, active)
         orders.notes, self._notes = self._notes, []
@@ -258,7 +279,7 @@
         total = sum(loads.values())
         shares = {n: total * s.capacity / capacity for n, s in warm.items()} if capacity > 0 else {}
         core = SECOND * self._terms.cores * self._terms.spare_below if self.ledger.told else 0.0
-        noise = self.ledger.unevenness * (1.0 - known) / known
+        noise = self.ledger.unevenness() * (1.0 - known) / known * (CHANCE if self._active else 1.0)
         spared = {n: core * s.capacity for n, s in warm.items()}
         return View(_shrunk(loads, shares, noise), shares, known, spared)
 
@@ -274,9 +295,16 @@
             over = view.imbalance - self._terms.start_at
             self._excess_s += (over if over > 0 else -FORGIVING) * LOOK_US / SECOND
             self._excess_s = max(0.0, self._excess_s)
+            if over <= 0 and view.known >= MOST_KNOWN and now_us >= self._quiet_until_us:
+                self._excess_s = 0.0
+                self._quiet_until_us = now_us + self._quiet_us
+                self._quiet_us = min(2 * self._quiet_us, LONGEST_QUIET_US)
+            enough = over > 0 and self._excess_s >= ALERT_AT * self._terms.patience_s
+            self._uneven = enough and now_us >= self._quiet_until_us
             if self._excess_s < self._terms.patience_s or over <= 0 or now_us < self._paused_until_us:
                 return False
             self._active, self._moved, self._useful_us = True, 0, now_us
+            self._quiet_us = QUIET_US
             self._asked.clear()
             self._pace.begin(now_us)
             self._notes.append({"state": "begun", "imbalance": round(view.imbalance, 2)})
@@ -345,9 +373,9 @@
         """Moves what is left here of households that neighbours have begun to move; returns how many."""
         moved = 0
         followed, self._followed = self._followed, {}
-        for hashed, until_us in followed.items():
+        for hashed in followed:
             household = self._named.get(hashed)
-            if household is None or until_us <= now_us:
+            if household is None:
                 continue
             for number in self.ledger.where(household):
                 members = self.ledger.movable(number, household, now_us - self._rest_us)
@@ -412,7 +440,7 @@
         return loads
     seen = sum((ratio - 1.0) ** 2 for ratio in ratios.values())
     chance = sum(noise / shares[n] for n in ratios)
-    real = max(0.0, 1.0 - CHANCE * chance / seen) if seen > 0 else 0.0
+    real = max(0.0, 1.0 - chance / seen) if seen > 0 else 0.0
     return {n: shares[n] * (1.0 + real * (ratios[n] - 1.0)) if n in ratios else loads[n] for n in loads}
 
 
--- a/sailrun/rebalance/gossip.py
+++ b/sailrun/rebalance/gossip.py
@@ -23,11 +23,18 @@
 _MOVED = struct.Struct("<I")
 VERSION = 0xB1
 TOLD = 1  # flag: loads are in us of work a second, not in connections
+ALERT = 2  # flag: the sender sees a fleet that is not even, and would hear of the others
 LONGEST = 256
 MOVED = 16
 ENTRIES = (LONGEST - _HEAD.size - MOVED * _MOVED.size) // _ENTRY.size
-# A neighbour not heard of for so long says nothing any more: two datagrams of a node at rest may be lost.
-FORGOTTEN_US = 20_000_000
+# Every datagram goes to every node: beyond so many nodes they are sent the more rarely, the more there are.
+FEW = 4
+# Who is not heard of for so many turns says nothing any more.
+TURNS = 4
+# After so many datagrams without one in return they are sent half as often, at each further one again.
+DEAF = 4
+# A node that hears of an uneven fleet tells as often as one that sees it, for so long.
+ALERT_US = 8_000_000
 # Of the form servers in a datagram, so many are told of though others have changed more.
 AGAIN = 4
 # While households are moved, their names go out this often.
@@ -48,6 +55,7 @@
     total: float
     loads: dict[int, float]
     moved: tuple[int, ...] = ()  # hashes of the households moved lately
+    alert: bool = False
 
 
 def write(telling: Telling) -> bytes:
@@ -56,7 +64,7 @@
         raise ValueError(f"{len(telling.loads)} form servers, {len(telling.moved)} households")
     head = _HEAD.pack(
         VERSION,
-        TOLD if telling.told else 0,
+        (TOLD if telling.told else 0) | (ALERT if telling.alert else 0),
         len(telling.loads),
         len(telling.moved),
         telling.sequence,
@@ -79,7 +87,7 @@
     moved = tuple(one for (one,) in _MOVED.iter_unpack(content[ends:]))
     if not all(math.isfinite(load) and load >= 0 for load in (total, *loads.values())):
         raise BadDatagram("a load that is none")
-    return Telling(incarnation, sequence, bool(flags & TOLD), total, loads, moved)
+    return Telling(incarnation, sequence, bool(flags & TOLD), total, loads, moved, bool(flags & ALERT))
 
 
 @dataclass(slots=True)
@@ -95,7 +103,8 @@
 class Hearsay:
     """What the neighbours hold, as far as heard. Sums are kept, not made anew at every look."""
 
-    def __init__(self) -> None:
+    def __init__(self, every_us: int, nodes: int) -> None:
+        self._forgotten_us = TURNS * apart_us(every_us, nodes) + ALERT_US
         self._neighbours: dict[int, _Neighbour] = {}
         self._sums: dict[bool, dict[int, float]] = {False: {}, True: {}}  # by the unit that they count in
 
@@ -123,7 +132,7 @@
         counts in other units, or was not heard of lately, says nothing.
         """
         for known in self._neighbours.values():
-            if known.loads and now_us - known.heard_us > FORGOTTEN_US:
+            if known.loads and now_us - known.heard_us > self._forgotten_us:
                 self._forget(known)
         voices = [known for known in self._neighbours.values() if known.told == told and known.loads]
         sums = self._sums[told]
@@ -140,11 +149,22 @@
         known.rest, known.sequence = 0.0, -1
 
 
-class Teller:
-    """When a node tells what: only what has changed, and rarely."""
+def apart_us(every_us: int, nodes: int) -> int:
+    """The least time between two datagrams of a node, in a tier of so many."""
+    return int(every_us * max(1.0, nodes / FEW))
+
 
-    def __init__(self, incarnation: int, every_us: int) -> None:
-        self._incarnation, self._every_us = incarnation, every_us
+class Teller:
+    """When a node tells what. Of an even fleet nothing: datagrams cost, and nobody would do anything. Once a
+    node sees from its own part that the fleet is not even, it tells, and all who hear of it tell too.
+    """
+
+    def __init__(self, incarnation: int, every_us: int, nodes: int) -> None:
+        self._incarnation = incarnation
+        self._every_us = apart_us(every_us, nodes)
+        self._soon_us = apart_us(min(SOON_US, every_us), nodes)
+        self._alert_until_us = -1
+        self._unanswered = 0  # datagrams since a neighbour was heard
         self._sequence = 0
         self._told_us = -(1 << 62)
         self._loads: dict[int, float] = {}
@@ -155,16 +175,24 @@
         """A household is being moved: neighbours are told soon."""
         self._moved.append(household)
 
-    def due(self, now_us: int, told: bool, loads: Mapping[int, float], unit: float) -> bytes | None:
-        """The next datagram, if it is time for one. In a fleet at rest every third turn at most."""
-        age_us = now_us - self._told_us
-        if age_us < (min(SOON_US, self._every_us) if self._moved else self._every_us):
+    def answered(self) -> None:
+        """A neighbour was heard: datagrams get through."""
+        self._unanswered = 0
+
+    def heard_alert(self, now_us: int) -> None:
+        self._alert_until_us = now_us + ALERT_US
+
+    def due(self, now_us: int, told: bool, loads: Mapping[int, float], alert: bool = False) -> bytes | None:
+        """The next datagram, if it is time for one. `alert`: this node sees a fleet that is not even."""
+        if not (alert or self._moved or now_us < self._alert_until_us):
+            return None
+        apart_us = self._soon_us if self._moved else self._every_us
+        if now_us - self._told_us < apart_us << min(max(0, self._unanswered - DEAF), 10):
             return None
         changed = {
             n: abs(loads.get(n, 0.0) - self._loads.get(n, 0.0)) for n in sorted({*loads, *self._loads})
         }
-        moved = sum(changed.values())
-        if not self._moved and (not changed or (moved < 3 * unit and age_us < 3 * self._every_us)):
+        if not changed:
             return None
         # What changed most, then some of the others in turn: a datagram that told of them may have been lost.
         chosen = sorted(changed, key=lambda n: (-changed[n], n))[: ENTRIES - AGAIN]
@@ -180,7 +208,8 @@
                 del self._loads[number]
         self._sequence += 1
         self._told_us = now_us
+        self._unanswered += 1
         households, self._moved = tuple(self._moved[:MOVED]), self._moved[MOVED:]
         return write(
-            Telling(self._incarnation, self._sequence, told, sum(loads.values()), told_of, households)
+            Telling(self._incarnation, self._sequence, told, sum(loads.values()), told_of, households, alert)
         )
--- a/sailrun/rebalance/ledger.py
+++ b/sailrun/rebalance/ledger.py
@@ -45,7 +45,7 @@
         self._spread: dict[Key, dict[int, int]] = {}  # a household's connections by form server
         self._means: dict[str, tuple[float, int]] = {}
         self._mean, self._notes = 0.0, 0
-        self.unevenness = 0.0  # the mean load by load: how much of a sample of connections is chance
+        self._unevenness = 0.0
         self.told = False  # whether loads are in us of work a second, not in connections
 
     # ------------------------------------------------------------------ events
@@ -104,13 +104,13 @@
 
     def recount(self) -> None:
         """Adds up anew: class means have moved on since the untold loads were counted."""
-        squares = total = 0.0
+        weights: list[float] = []
         for held in self.held.values():
-            loads = [self.load_of(one) for members in held.households.values() for one in members.values()]
-            held.load = sum(loads) + len(held.households) * self.household_cost()
-            squares += sum(load * load for load in loads)
-            total += sum(loads)
-        self.unevenness = squares / total if total > 0 else 0.0
+            at = [self.weight(members) for members in held.households.values()]
+            held.load = sum(at)
+            weights += at
+        total = sum(weights)
+        self._unevenness = sum(weight * weight for weight in weights) / total if total > 0 else 0.0
 
     # ------------------------------------------------------------------ looks
 
@@ -124,6 +124,10 @@
         """A connection's mean load."""
         return self._mean if self._notes else 1.0
 
+    def unevenness(self) -> float:
+        """The mean weight of households, by weight: the more, the more of a sample is chance."""
+        return self._unevenness or 2.0 * (self.unit() + self.household_cost())
+
     def household_cost(self) -> float:
         return HOUSEHOLD_COST * self.unit()
 
