--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -735,8 +735,8 @@
     def _relieve(self, server: _Server, room: bool = False) -> None:
         """Moves connections off a backend whose messages miss the objective. Every relay hears of the
         delay and moves the same share of its own, or what is over its fair load there if there is room
-        elsewhere: first those that score higher elsewhere by now, then the lowest score, so that relays
-        pick the same groups.
+        elsewhere: first those that score higher elsewhere by now, the heaviest of them first, so that few
+        are moved for the same relief.
         In a full fleet those moved are refused until there is room, so that the rest are served.
         """
         if not self._crowded(server, MOVE_AT):
@@ -744,9 +744,9 @@
         excess = max(server.load * MOVE_SHARE, server.load - self._fair(server) if room else 0.0)
         hashes = [s.hash for s in self._ready if s.ejected_until <= self._now]
 
-        def keeps(request: _Request) -> tuple[bool, int]:
+        def keeps(request: _Request) -> tuple[bool, float]:
             score = (server.hash * request.hash) & MASK
-            return room and score >= max((h * request.hash) & MASK for h in hashes), score
+            return room and score >= max((h * request.hash) & MASK for h in hashes), -request.load
 
         for request in sorted(server.open.values(), key=keeps):
             if excess <= request.load * self._random.random():
--- a/sailrun/rebalance/balance.py
+++ b/sailrun/rebalance/balance.py
@@ -378,6 +378,8 @@
             if household is None:
                 continue
             for number in self.ledger.where(household):
+                if room.get(number, 0.0) > 0:
+                    continue  # not where the neighbour has moved it from: this one takes others in
                 members = self.ledger.movable(number, household, now_us - self._rest_us)
                 target = elsewhere(list(members)) if members else None
                 if target is not None and room.get(target, 0.0) > 0:
