Hear the neighbours before the first move; begin ever less where nothing can be moved

A node whose own part looked bad enough moved households before its neighbours' word could show that it was chance. It now tells first and waits a second for them. A household heavier than any room made it begin anew every 25 s; the pause doubles.

--- a/sailrun/rebalance/balance.py
+++ b/sailrun/rebalance/balance.py
@@ -30,11 +30,13 @@
 # So many households are asked for in a look, and one that has to stay is asked for again only after this.
 QUESTIONS, ASK_AGAIN_US = 24, 4 * SECOND
 # Without a move for so long there is nothing to be done: what is over is too heavy, or has nowhere to go.
-GIVE_UP_US, PAUSE_US = 15 * SECOND, 10 * SECOND
+GIVE_UP_US, PAUSE_US, LONGEST_PAUSE_US = 15 * SECOND, 10 * SECOND, 640 * SECOND
 # Of what chance would explain of the spread, so much is taken off while households are moved. All of it, as
 # before, is the best estimate of every single load, but leaves the busiest where it is: four nodes that hear
 # nothing came to 1.3 only.
 CHANCE = 0.2
+# After the alarm neighbours have so long to be heard before the first move.
+HEAR_US = 1 * SECOND
 # Of the patience, so much must be spent before a node tells its neighbours of what it sees.
 ALERT_AT = 0.5
 # An alarm that the neighbours' word shows to be chance: the next one is kept back for so long, twice as long
@@ -115,10 +117,11 @@
         self._look_us = now_us + LOOK_US
         self._recount_us = now_us + RECOUNT_US
         self._excess_s = 0.0  # what was over the start, times its seconds
-        self._active = self._uneven = False
+        self._active = False
+        self._alarm_us: int | None = None  # since when this node tells that the fleet is not even
         self._quiet_until_us, self._quiet_us = 0, QUIET_US
         self._useful_us = now_us  # the last move, or the begin
-        self._paused_until_us = 0
+        self._paused_until_us, self._pause_us = 0, PAUSE_US
         self._moved = 0
         self._leaving = self._roster_lost = False
         self._unread: set[int] = set()  # neighbours whose last datagram could not be read
@@ -255,7 +258,9 @@
         active = self._judge(now_us, view)
         if self._teller is not None:
             own = {n: held.load for n, held in self.ledger.held.items()}
-            orders.tell = self._teller.due(now_us, self.ledger.told, own, active or self._uneven)
+            orders.tell = self._teller.due(
+                now_us, self.ledger.told, own, active or self._alarm_us is not None
+            )
         if active or self._followed:
             self._choose(now_us, view, elsewhere, orders, active)
         orders.notes, self._notes = self._notes, []
@@ -299,10 +304,16 @@
                 self._excess_s = 0.0
                 self._quiet_until_us = now_us + self._quiet_us
                 self._quiet_us = min(2 * self._quiet_us, LONGEST_QUIET_US)
-            enough = over > 0 and self._excess_s >= ALERT_AT * self._terms.patience_s
-            self._uneven = enough and now_us >= self._quiet_until_us
-            if self._excess_s < self._terms.patience_s or over <= 0 or now_us < self._paused_until_us:
+            ready = over > 0 and self._excess_s >= self._terms.patience_s and now_us >= self._paused_until_us
+            warned = over > 0 and self._excess_s >= ALERT_AT * self._terms.patience_s
+            if not ready and not (warned and now_us >= self._quiet_until_us):
+                self._alarm_us = None
                 return False
+            self._alarm_us = self._alarm_us if self._alarm_us is not None else now_us
+            deaf = self._teller is not None and view.known < MOST_KNOWN
+            if not ready or (deaf and now_us - self._alarm_us < HEAR_US):
+                return False
+            self._alarm_us = None
             self._active, self._moved, self._useful_us = True, 0, now_us
             self._quiet_us = QUIET_US
             self._asked.clear()
@@ -314,7 +325,8 @@
             self._useful_us = now_us  # held, not in vain
         if done or now_us - self._useful_us >= GIVE_UP_US:
             self._active, self._excess_s = False, 0.0
-            self._paused_until_us = now_us + PAUSE_US
+            self._paused_until_us = now_us + self._pause_us
+            self._pause_us = PAUSE_US if done else min(2 * self._pause_us, LONGEST_PAUSE_US)
             state = "balanced" if done else "nothing-to-move"
             self._notes.append({"state": state, "imbalance": round(view.imbalance, 2), "moved": self._moved})
             return False
--- a/tests/test_rebalance.py
+++ b/tests/test_rebalance.py
@@ -365,3 +365,42 @@
         spent.append((now_us, allowed))
         within = sum(count for at_us, count in spent if now_us - at_us < 10 * SECOND)
         assert within <= 2.0 * 20 * 10 + 2.0 * 20 + 1
+
+
+def test_a_household_heavier_than_a_form_servers_room_stays() -> None:
+    bench = Bench()
+    for n in range(30):
+        bench.stand(f"heavy{n}", 1, "home")
+    for server in (1, 2, 3, 4):
+        bench.crowd(server, 5)
+    bench.look(40)
+    assert not any(name.startswith("heavy") for name in bench.moved)
+    assert "nothing-to-move" in [note["state"] for note in bench.notes]
+
+
+def test_cores_spare_a_form_server_that_is_used_little() -> None:
+    for load, moves in ((10_000.0, False), (60_000.0, True)):
+        bench = Bench()
+        bench.it = Rebalancer(RebalanceTerms(enabled=True, cores=2.0), settings(), bench.now_us)
+        bench.it.listed(bench.now_us, ListKind.FULL, servers(bench.count))
+        bench.crowd(1, 40)
+        for name in list(bench.it.ledger.standing):
+            bench.it.loaded(name, load)  # 40 of these with their households: half, or three times, of 2 cores
+        bench.look(20)
+        assert bool(bench.moved) is moves
+
+
+def test_a_false_alarm_moves_nobody_and_is_told_of_ever_less() -> None:
+    """A node's own part looks uneven by chance; the neighbours' word says that the fleet is even."""
+    bench = Bench(nodes=2)
+    for server, count in ((1, 33), (2, 20), (3, 19), (4, 8)):
+        bench.crowd(server, count)
+    told = []
+    for sequence in range(1, 1200):
+        orders = bench.look(0.25)
+        told.append(sum(order.tell is not None for order in orders))
+        if told[-1]:
+            other = Telling(1, sequence, False, 200.0, {1: 17.5, 2: 50.0, 3: 52.5, 4: 80.0})
+            bench.it.heard(bench.now_us, 1, write(other))
+    assert not bench.moved
+    assert 0 < sum(told) < 60
