--- a/sailrun/lab/world.py
+++ b/sailrun/lab/world.py
@@ -165,7 +165,7 @@
     def populate(self) -> None:
         """Those who stand when the day begins, each where its score would have it, none filled far over."""
         holders = list(self._holders(list(self.servers.values())))
-        hashes = [(server_hash(s.number), s) for s in holders]
+        hashes = [server_hash(s.number) for s in holders]
         total = sum(s.capacity for s in holders)
         cost = self.terms.household_cost * self.terms.unit
         expected = self.terms.households * cost + self.terms.connections * self.terms.unit
@@ -173,9 +173,12 @@
         for _ in range(self.terms.households):
             clients = self.people.household(self.time.now_us, 0)
             key = key_hash(clients[0].household)
-            ranked = sorted(hashes, key=lambda pair: (-((pair[0] * key) & MASK), pair[1].number))
-            room = (s for _, s in ranked if loads[s] <= 1.1 * expected * s.capacity / total)
-            server = next(room, ranked[0][1])
+            scores = [(h * key) & MASK for h in hashes]
+            server = holders[max(range(len(holders)), key=scores.__getitem__)]
+            if loads[server] > 1.1 * expected * server.capacity / total:
+                ranked = sorted(zip(scores, holders, strict=True), key=lambda pair: -pair[0])
+                room = (s for _, s in ranked if loads[s] <= 1.1 * expected * s.capacity / total)
+                server = next(room, server)
             loads[server] += sum(c.load for c in clients) + cost
             for client in clients:
                 self.want(client)
