--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -11,7 +11,7 @@
 import math
 from collections import deque
 from collections.abc import Callable, Iterator, Sequence
-from itertools import islice
+from itertools import islice, takewhile
 from random import Random
 
 import mmh3
@@ -166,9 +166,8 @@
         return self._out
 
     def elsewhere(self, now_us: int, names: Sequence[str]) -> int | None:
-        """The warm backend that these standing connections of one key, which share one backend, would get
-        if they came now; None if there is no other.
-        """
+        """Where these standing connections of one key and backend would go if they came now; None if nowhere
+        else, or if a cold backend is ahead: it may have a slot by the time they come."""
         self._now = max(self._now, now_us)
         ones = [r for r in map(self._requests.get, names) if r is not None and r.opened and r.at is not None]
         if not ones or (holder := ones[0].at) is None:
@@ -180,7 +179,9 @@
         place = self._choose(newcomer)
         for request in ones:
             self._weigh(request, holder, 1.0)
-        return place.id if place not in (None, holder) and place.cold_from_us < 0 else None
+        ahead = takewhile(lambda s: s is not place, self._ranked(newcomer.hash))
+        moves = place is not holder and all(s.cold_from_us < 0 for s in ahead)
+        return place.id if moves and place is not None and place.cold_from_us < 0 else None
 
     # ------------------------------------------------------------------ the backend list
 
@@ -695,8 +696,7 @@
         if server.trial:
             self._report(f"backend {server.id} readmitted")
             server.trial = False
-            server.ejections = 0
-            server.ejected_until = 0
+            server.ejections = server.ejected_until = 0
             self._recount()
             if not server.open or len(server.open) == 1:
                 # it may have restarted before the list tells: treated as cold from now
--- a/sailrun/lab/checks.py
+++ b/sailrun/lab/checks.py
@@ -122,11 +122,14 @@
         if known is not None:
             known.server = ""
 
+    def node_starts(self, node: int) -> None:
+        """A new process: what its predecessor was told it does not know."""
+        self._told_us = {key: at for key, at in self._told_us.items() if key[0] != node}
+
     def node_gone(self, node: int) -> None:
         """Killed outright: what it had taken is for the clients to repeat."""
         self._dropped.update(name for name, known in self._open.items() if known.node == node)
         self._open = {name: known for name, known in self._open.items() if known.node != node}
-        self._told_us = {key: at for key, at in self._told_us.items() if key[0] != node}
 
     def end(self, now_us: int) -> None:
         for request, known in self._open.items():
--- a/sailrun/lab/sockets.py
+++ b/sailrun/lab/sockets.py
@@ -606,6 +606,7 @@
             "known": self.roster.whole(),
             "settings": self.terms.settings(slot.index),
         }
+        self.rules.node_starts(slot.index)
         (slot.folder / "config.json").write_text(json.dumps(config))
         operator = slot.folder / "operator.toml"
         operator.write_text(tomli_w.dumps({"rebalance": msgspec.to_builtins(self._rebalance)}))
--- a/sailrun/lab/virtual.py
+++ b/sailrun/lab/virtual.py
@@ -345,6 +345,8 @@
         settings = self._settings[slot.index]
         known = RosterNews(ListKind.CACHED, self.roster.revision, tuple(self.roster.entries.values()))
         slot.roster_revision = self.roster.revision
+        self.rules.node_starts(slot.index)
+        self.roster.told(slot.index, known.form_servers)
 
         def log(what: str, **facts: object) -> None:
             if what in KEPT_LOGS:
