--- a/sailrun/lab/figures.py
+++ b/sailrun/lab/figures.py
@@ -6,7 +6,6 @@
 from collections.abc import Sequence
 
 from sailrun.lab.records import Records
-from sailrun.lab.terms import SECOND
 
 # Even means: the busiest warm form server holds at most this over the mean, for so many seconds on end.
 EVEN, EVEN_FOR = 1.25, 5
@@ -84,7 +83,3 @@
         "simulated_s": len(imbalances) * 1.0,
     }
     return {name: round(value, 6) for name, value in result.items()}
-
-
-def at_s(us: int) -> float:
-    return us / SECOND
--- a/sailrun/lab/run.py
+++ b/sailrun/lab/run.py
@@ -116,7 +116,6 @@
         seconds=request.seconds,
         utilization=request.utilization,
         datagrams_lost=request.datagrams_lost,
-        off=request.off,
     )
 
 
--- a/sailrun/lab/sockets.py
+++ b/sailrun/lab/sockets.py
@@ -30,7 +30,7 @@
 from sailrun.lab.form_servers import FormServerModel, Held, Phase
 from sailrun.lab.households import Client
 from sailrun.lab.terms import SECOND, WorldTerms
-from sailrun.lab.world import RosterBook, Slot, World
+from sailrun.lab.world import GAP_US, RESTART_US, RosterBook, Slot, World
 from sailrun.node.session import FormServer
 from sailrun.rebalance.terms import RebalanceTerms
 
@@ -40,9 +40,6 @@
 READY_S, ENDED_S = 20.0, 6.0
 # Clients of before the day come this many a second; they all stand before it begins.
 RESUMES_A_SECOND = 200
-# A node that ended is started again after this, and admitted once it answers PING.
-RESTART_US = SECOND
-GAP_US = (20_000, 200_000)
 KEPT_LOGS = ("rebalance", "silent", "decision", "fault", "leaving", "roster-failed", "out-of-descriptors")
 
 _BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, OSError)
--- a/sailrun/lab/terms.py
+++ b/sailrun/lab/terms.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import cached_property
 from typing import Any
 
@@ -80,7 +80,6 @@
     connect_timeout_us: int = 120_000
     max_retry_after_us: int = 2_000_000
     peer_messages: bool = True
-    off: frozenset[str] = field(default_factory=frozenset)  # subsystems not switched on
 
     @cached_property
     def connections(self) -> float:
--- a/sailrun/lab/virtual.py
+++ b/sailrun/lab/virtual.py
@@ -16,15 +16,12 @@
 from sailrun.lab.households import Client
 from sailrun.lab.scheduler import BEGIN_US, Scheduler, VirtualClock
 from sailrun.lab.terms import SECOND, WorldTerms
-from sailrun.lab.world import RosterBook, Slot, World
+from sailrun.lab.world import GAP_US, RESTART_US, RosterBook, Slot, World
 from sailrun.node.core import Node
 from sailrun.node.session import FormSession, Placement, RosterNews
 from sailrun.rebalance.balance import Elsewhere, Orders, Rebalancer
 from sailrun.rebalance.terms import RebalanceTerms
 
-# A client is moved, and back at the front, within so long.
-GAP_US = (20_000, 200_000)
-RESTART_US = SECOND
 ADMITTED_US = (300_000, 900_000)
 # A client's lines come every so often; at slow form servers the nodes' own are timed, one a second.
 LINE_US = 2 * SECOND
--- a/sailrun/lab/world.py
+++ b/sailrun/lab/world.py
@@ -22,6 +22,10 @@
 MEMBERS_US = 5 * SECOND
 # A draining form server that still holds anybody sends them away after this, and ends.
 DRAINED_US = 8 * SECOND
+# A client is moved, and back at the front, within so long.
+GAP_US = (20_000, 200_000)
+# A node that ended is started again after this.
+RESTART_US = SECOND
 SLOW_US = 10_000
 
 
