Space roster calls by the number of nodes; read message times told in LOAD lines

The roster takes calls in turn and also those it has given up after 2 s, so a retry costs a turn that nobody waits for. Lines at fault: Balancer._follow, whose window (250 ms, doubled, at most 5 s) knew nothing of the number of nodes. The window is now 100 ms for each node of the tier, doubled at each failure, at most three quarters of the time within which a node must ask.

Seen in the same logs: form servers that soon dropped everything had told LOAD 761, 1011, 1526, 1846 beforehand, the same figure on 16 nodes in the same instant, a second apart. No connection's own load does that. It is the second note of the settings (tellsDelay): what a message takes there, in ms. Ruled out: a load of the household (same figure on many), of the form server (the settings promise none). Read as loads, some 0.1% of a usual one, they made the worst form server look the emptiest: 18 sessions there counted 6 ms/s of load at the end, not 352.

--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -28,6 +28,8 @@
 PUMP, FOLLOW = 1, 2
 # Held requests are looked at again this often: well under any set-up objective, well over a tick.
 PUMP_US, PUMP_MISSES = 50_000, 4
+# Calls for the list: one of all relays in so long, fewer after failures; each in this share of its time.
+ASK_US, ASK_SHARE = 100_000, 0.75
 # Outlier ejection: the first stay away, doubled at each further failure up to the longest.
 EJECT_US, EJECT_MAX_US = 1 * SECOND, 8 * SECOND
 # Above this share of the list ejected at once, this relay's own link is the likelier cause.
@@ -186,12 +188,12 @@
     # ------------------------------------------------------------------ the backend list
 
     def _listed(self, event: i.ListUpdate) -> None:
-        if event.kind is i.ListKind.FAILED:
-            self._list_failures += 1
+        if event.kind is not i.ListKind.CACHED:
+            self._list_failures = self._list_failures + 1 if event.kind is i.ListKind.FAILED else 0
+        if event.kind in (i.ListKind.FAILED, i.ListKind.CACHED):
             self._follow()
+        if event.kind is i.ListKind.FAILED:
             return
-        if event.kind is not i.ListKind.CACHED:
-            self._list_failures = 0
         named = {entry.id for entry in event.backends}
         for entry in event.backends:
             self._entry(entry)
@@ -205,8 +207,6 @@
         self._hashes = int.from_bytes(packed, "little")
         self._lanes = int.from_bytes(MASK.to_bytes(LANE, "little") * len(self._ready), "little")
         self._recount()
-        if event.kind is i.ListKind.CACHED:
-            self._follow()
         self._pump()
 
     def _entry(self, entry: i.Backend) -> None:
@@ -234,38 +234,37 @@
         server.state = state
 
     def _follow(self) -> None:
-        """Ask mode: (re)subscribe after a jittered back-off, so that many relays do not call at once."""
+        """Ask mode: (re)subscribe at a random time within a window. Discovery takes calls in turn, also those
+        that have been given up: more than it takes, and none is answered in time any more."""
         if self._set.discovery is i.Discovery.ASK and not self._follow_set:
             self._follow_set = True
-            longest = max(self._set.must_ask_in_us // 2, SECOND)
-            window = min(longest, (SECOND // 4) << min(self._list_failures, 10))
+            longest = max(ASK_SHARE * self._set.must_ask_in_us, SECOND)
+            window = min(longest, (ASK_US * self._set.instances) << min(self._list_failures, 10))
             self._out.append(i.SetTimer(1 + int(self._random.random() * window), FOLLOW))
 
     # ------------------------------------------------------------------ arrivals
 
-    def _key(self, event: i.RequestArrived | i.ConnectionResumed) -> int:
-        return key_hash(event.group_key or event.key or event.request)
-
-    def _arrived(self, event: i.RequestArrived) -> None:
+    def _new(self, event: i.RequestArrived | i.ConnectionResumed, left_us: int) -> _Request:
         cls = self._classes.get(event.request_class, self._set.classes[0])
-        request = _Request(event.request, cls, self._key(event), self._now + event.left_us)
-        request.mid_flow = event.mid_flow and self._set.pass_through
+        key = key_hash(event.group_key or event.key or event.request)
+        request = self._requests[event.request] = _Request(event.request, cls, key, self._now + left_us)
         request.client = key_hash(event.key or event.request) if event.group_key else 0
-        self._requests[request.id] = request
         self._expect(request, event.load_hint)
+        return request
+
+    def _arrived(self, event: i.RequestArrived) -> None:
+        request = self._new(event, event.left_us)
+        request.mid_flow = event.mid_flow and self._set.pass_through
         self._place(request)
 
     def _resumed(self, event: i.ConnectionResumed) -> None:
-        cls = self._classes.get(event.request_class, self._set.classes[0])
-        request = _Request(event.request, cls, self._key(event), self._now)
+        request = self._new(event, 0)
         server = self._servers.get(event.backend)
         if server is None:  # not on any list yet: known by id alone, and not to be sent to
             server = self._servers[event.backend] = _Server(i.Backend(event.backend, i.BackendState.GONE))
-        self._expect(request, event.load_hint)
         request.attempts, request.opened, request.at = 1, True, server
         self._weigh(request, server, 1.0)
         server.open[request.id] = request
-        self._requests[request.id] = request
 
     def _expect(self, request: _Request, hint: float | None) -> None:
         """The load to count for a new connection: its hint, else what its class was seen to load."""
--- a/sailrun/interface.py
+++ b/sailrun/interface.py
@@ -115,6 +115,7 @@
     cancel: bool = False
     probes: bool = False
     peer_messages: bool = False
+    tells_delay: bool = False  # form servers tell what a message takes with them
     pass_through: bool = False  # connections survive a change of relay
     park_us: int = 0  # how long a backend keeps a silent pass-through connection
     capacity_hints: bool = False  # `Backend.capacity` compares backends
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -89,6 +89,8 @@
         self._pulse_us = self._now + PULSE_US
         aims = [c.message_objective_us for c in settings.classes if c.message_objective_us > 0]
         self._slow_us = min(aims) / 3 if aims else 0.0
+        # From what on form servers say what a message takes, in ms; 0: they never do.
+        self.told_from_ms = self._slow_us / 1000 if settings.tells_delay else 0.0
         self._known = known
         self._asked_to_leave_us = self._stop_us = self._moves_from_us = self._moves_until_us = 0
         self.stopped = False
@@ -141,6 +143,10 @@
         if watch is not None:
             watch.answered(now_us, took_us)
 
+    def told_delay(self, session: FormSession, value_ms: float) -> None:
+        """The session's form server has said what a message takes there."""
+        self._post(self._told_delay, session, value_ms)
+
     def roster_told(self, news: RosterNews) -> None:
         self._post(self._roster_told, news)
 
@@ -378,6 +384,15 @@
             )
             self._aside(lambda rebalancer: rebalancer.loaded(session.id, load))
 
+    def _told_delay(self, session: FormSession, value_ms: float) -> None:
+        if session.placement is None or not session.stands:
+            return
+        number, attempt = session.placement.form_server.number, session.placement.attempt
+        watch = self._watches[number]
+        if watch.told(self._now, value_ms * 1000 > self._slow_us):
+            self._log_slow(number, watch.slow, value_ms)
+        self._feed(i.AttemptNotice(session.id, attempt, number, i.NoticeKind.DELAY, value_ms))
+
     def _roster_told(self, news: RosterNews) -> None:
         if news.kind is not i.ListKind.CACHED:
             self._log(
@@ -422,9 +437,7 @@
             was_slow = watch.slow
             value = watch.notice(self._now, self._slow_us)
             if value is not None and watch.slow is not was_slow:
-                self._log(
-                    "slow" if watch.slow else "quick-again", server=self._name(number), ms=round(value, 1)
-                )
+                self._log_slow(number, watch.slow, value)
             told = next((s for s in watch.sessions.values() if s.placement is not None), None)
             if value is not None and told is not None and told.placement is not None:
                 attempt = told.placement.attempt
@@ -438,6 +451,9 @@
         if self._stop_us:
             self._send_away()
 
+    def _log_slow(self, number: int, slow: bool, value_ms: float) -> None:
+        self._log("slow" if slow else "quick-again", server=self._name(number), ms=round(value_ms, 1))
+
     def _rebalance_with(self, rebalancer: Rebalancer | None) -> None:
         """A new one is told what stands. Whom an old one has moved it can't know: all may be among them."""
         old, self.rebalancer = self.rebalancer, rebalancer
--- a/sailrun/node/watch.py
+++ b/sailrun/node/watch.py
@@ -15,6 +15,8 @@
 SILENT_US, SILENT_MANY_US, MANY = 2_500_000, 1_500_000, 3
 # One connection that returns nothing while others at the same form server do.
 DEAF_US = 5 * SECOND
+# What a form server has said itself of its delay holds so much longer than what was timed here.
+TOLD_US = 1_500_000
 
 
 class ServerWatch:
@@ -42,6 +44,14 @@
         timed = sorted([*timed, *(w for w in waiting if w > middle)])
         return timed[len(timed) // 2] if timed else None
 
+    def told(self, now_us: int, slow: bool) -> bool:
+        """The form server has said itself what a message takes. That goes before what is timed here, until
+        it should have been said again. Whether this is news.
+        """
+        self._noticed_us = now_us + (TOLD_US if slow else 0)
+        was_slow, self.slow = self.slow, slow
+        return slow is not was_slow
+
     def notice(self, now_us: int, least_us: float) -> float | None:
         """Milliseconds to tell of, if it is time: once a second while messages take over `least_us`,
         and once more when they are back under.
--- a/sailrun/platform/households.py
+++ b/sailrun/platform/households.py
@@ -15,6 +15,7 @@
 from sailrun.node.clock import log
 from sailrun.node.core import Node
 from sailrun.node.session import FormSession, Placement
+from sailrun.platform.figures import Figures, Load
 from sailrun.platform.lines import ANSWERS, ENDINGS, BadLine, Opening, load_told, parse_opening, word_of
 
 SECOND = 1_000_000
@@ -39,6 +40,9 @@
         self.groups = groups  # whether `g` names a group, not the household once more
         self.classes = frozenset(c.name for c in node.settings.classes)
         self.waiting = WaitingRoom(descriptors)
+        # What form servers say in LOAD lines, by their names.
+        self.least_ms = node.told_from_ms
+        self.figures: dict[str, Figures[HouseholdConnection]] = {}
         # The ids in use. A second connection with one of them would be a second copy of that request.
         self.ids: set[str] = set()
 
@@ -65,6 +69,8 @@
         self._orders, self._inbox = anyio.create_memory_object_stream(8)
         self._attempt: tuple[int, anyio.CancelScope] | None = None
         self._reading: anyio.CancelScope | None = None
+        self._load: float | None = None  # as told last, and before that
+        self._load_before: float | None = None
         self._moving_since_us = 0
         self._answered = self._spoke_too_soon = False
         self._reason = "unknown"
@@ -400,7 +406,29 @@
             ending = ENDINGS.get(word_of(line), Outcome.RESET)
             load = load_told(line)
             if load is not None:
-                self._node.told_load(self._session, load)
+                self._tell(load)
             elif ending is Outcome.RESET:
                 self._node.answered(self._session)
         return ending
+
+    def _tell(self, value: float) -> None:
+        """Hands on a LOAD line's figure, as what it is."""
+        assert self._session is not None and self._at is not None
+        front = self._front
+        figures = front.figures.get(self._at)
+        if figures is None:
+            figures = front.figures[self._at] = Figures(front.least_ms)
+        told = figures.read(self._node.clock.now_us(), value, self)
+        if isinstance(told, Load):
+            self._load_before, self._load = self._load, value
+            self._node.told_load(self._session, value)
+            return
+        self._node.told_delay(self._session, told.value)
+        if told.mistaken is not None:
+            told.mistaken.restore_load()
+
+    def restore_load(self) -> None:
+        """The last figure was none of this connection's load: the one before it holds."""
+        if self._session is not None and self._load_before is not None:
+            self._load = self._load_before
+            self._node.told_load(self._session, self._load)
--- a/sailrun/wire.py
+++ b/sailrun/wire.py
@@ -157,6 +157,7 @@
         peer_messages=flag("limits.peerMessages"),
         pass_through=fields.get("familyInfo.mode") == "pass",
         park_us=integer(m, fields, "familyInfo.parkUs", 0),
+        tells_delay=flag("familyInfo.tellsDelay"),
         capacity_hints=fields.get("weightSource", "silent") != "silent",
         tick_us=integer(m, fields, "tickUs", 1_000),
     )
@@ -169,7 +170,7 @@
     | obligations\.(drainGraceUs | coldFrom | coldUs | fallMultiple | fallUs | answerSlackUs | mustAskInUs)
     | limits\.(maxAttempts | connectTimeoutUs | retryAfter | maxRetryAfterUs | parallelTries | cancel | probes
                | peerMessages)
-    | familyInfo\.(messageAimUs | tenantQuotaConnections | mode | parkUs | groups)""",
+    | familyInfo\.(messageAimUs | tenantQuotaConnections | mode | parkUs | groups | tellsDelay)""",
     re.VERBOSE,
 )
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -55,6 +55,21 @@
         running.logged("ended", "reason=household-left", "server=s-5be2a07c")
 
 
+def test_what_a_message_takes_is_told_in_the_same_line_as_a_load(
+    tmp_path: Path, form_server: FormServer, roster: Roster
+) -> None:
+    told = {**SETTINGS, "familyInfo": {**SETTINGS["familyInfo"], "tellsDelay": True}}
+    told["familyInfo"]["messageAimUs"] = [50_000.0, 50_000.0]
+    with node(tmp_path, roster, settings=told) as running:
+        household = running.ask()
+        assert household.hear() == "UP r1"
+        for line in ("LOAD 42000.0", "LOAD 29.1"):
+            form_server.peers[0].say(line)
+            assert household.hear() == line  # passed on unchanged, whatever it says
+        running.logged("slow", "server=s-5be2a07c", "ms=29.1")
+        household.close()
+
+
 def test_a_form_server_that_ends_the_session_ends_the_household_too(
     tmp_path: Path, form_server: FormServer, roster: Roster
 ) -> None:
