Tell in rounds what the nodes hold, and share out loads and warm-ups by the sum

Two causes, both shares of one node's own five sessions: - _fair counted a form server that has 13% of its capacity like a whole one, so the level that warm and cold ones should hold was too low for all: _recount now counts present capacity (_share). - _bounded lets through one connection and a root more than a node's fair load, times 40 nodes 80 sessions; the slots of _warm_enough at 40 nodes lapse unused at those where nobody comes (a pure test at 40 nodes fills a cold form server with 6 sessions where 4 nodes fill it with 18). Ruled out: too little knowledge of the list (all 40 had it), form servers that refuse (no BUSY at all).

While it holds (7 s), loads, limits, the level and the slots of a cold form server are the fleet's: one mechanism at 4 and at 40, none where talk is barred.

--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -2,9 +2,7 @@
 
 Rank by score, take the first backend that admits. A score is the product of two 32-bit MurmurHash3
 values, one of the backend id and one of the key, cut to 32 bits; the higher score wins, ties go to
-the lower id. Every gate below is one exception to "the top score gets it" and says when it acts.
-With all gates open the result is the plain top score.
-"""
+the lower id. Every gate below is a named exception to that, and says when it acts."""
 
 from __future__ import annotations
 
@@ -30,24 +28,17 @@
 PUMP_US, PUMP_MISSES = 50_000, 4
 # Calls for the list: one of all relays in so long, fewer after failures; each in this share of its time.
 ASK_US, ASK_SHARE = 100_000, 0.75
-# Outlier ejection: the first stay away, doubled at each further failure up to the longest.
-EJECT_US, EJECT_MAX_US = 1 * SECOND, 8 * SECOND
-# Above this share of the list ejected at once, this relay's own link is the likelier cause.
-EJECT_SHARE = 0.7
-# How far down a key's order of scores to look: bounds the work where many backends are gated.
-DEPTH = 24
-# A heavy group spreads so that each of its backends gets about so many fair loads of it.
-SPREAD = 0.7
-# A class's mean load rests on about so many of its latest notes.
-CLASS_NOTES = 200
-# Delay notes come about once a second; one older than this says nothing any more.
-NOTE_US = 2_500_000
-# Connections that break within so long broke for one reason: sockets tell of them one after another.
-BURST_US = 1 * SECOND
-# What a set-up usually takes: the lower quarter of so many latest ones, once there are a few.
-LATEST_TOOK, FEW_TOOK = 64, 8
+# Outlier ejection: the first stay away, doubled at each further failure up to the longest; with more than
+# this share of the list ejected at once, this relay's own link is the likelier cause.
+EJECT_US, EJECT_MAX_US, EJECT_SHARE = 1 * SECOND, 8 * SECOND, 0.7
+# How far down a key's order of scores to look. A heavy group spreads so that each of its backends gets
+# about so many fair loads of it. A class's mean load rests on about so many of its latest notes.
+DEPTH, SPREAD, CLASS_NOTES = 24, 0.7, 200
+# A delay note older than this says nothing any more. What breaks within so long broke for one reason.
+NOTE_US, BURST_US = 2_500_000, 1 * SECOND
+LATEST_TOOK, FEW_TOOK = 64, 8  # what a set-up usually takes: the lower quarter of the latest, of a few
 # Bounded loads: a backend admits up to this multiple of its fair share, some roots of it and connections.
-BOUND, BOUND_ROOT, BOUND_MORE = 1.15, 1.0, 1.0
+BOUND, BOUND_ROOT, BOUND_MORE, SLOTS_HEARD = 1.15, 1.0, 1.0, 3.0
 # A crowded backend's limit: at most one cut in so long, to this share; its growth a second.
 LIMIT_US, LIMIT_CUT, LIMIT_GROWTH = 900_000, 0.85, 0.1
 # From this multiple of the shortest aim on, this share moves a second; at a drain, all by this of the grace.
@@ -55,14 +46,12 @@
 # Congestion control: how often the pace falls, its fall, its least in sends a second, its growth a second,
 # the time over which the usual rate is taken, and the multiple of it at which the pace is free again.
 PACE_US, PACE_CUT, PACE_MIN, PACE_GROWTH, USUAL_US, PACE_FREE = 250_000, 0.6, 1.0, 0.6, 10 * SECOND, 20.0
-# Errors mean congestion while set-ups take this share of the wanted time, or where most of them fail.
-SLOW = 0.25
-# So many errors in a row, at a few backends only, are theirs.
-ERRORS = 3
-# The first wait after an error, doubled at each further one.
-ERROR_WAIT_US = 200_000
+# Errors mean congestion while set-ups take this share of the wanted time, or where most of them fail; so
+# many in a row, at a few backends only, are theirs; the first wait after one, doubled at each further one.
+SLOW, ERRORS, ERROR_WAIT_US = 0.25, 3, 200_000
 # An attempt is given up after the set-up objective or this multiple of what set-ups take, if longer.
 PATIENCE = 8.0
+NOBODY = i.OthersHold({}, 0, False, 1, frozenset(), 1 << 62)
 NEVER_RAN = (i.Outcome.REJECTED, i.Outcome.CONNECT_FAILED, i.Outcome.NOT_SENT)
 
 
@@ -79,47 +68,44 @@
     """What this instance knows of one backend."""
 
     def __init__(self, entry: i.Backend) -> None:
-        self.id = entry.id
-        self.hash = server_hash(entry.id)
+        self.id, self.hash = entry.id, server_hash(entry.id)
         self.zone, self.cell, self.capacity = entry.zone, entry.cell, entry.capacity
         self.open: dict[str, _Request] = {}  # connections that stand, in the order they came
-        self.pending = 0  # attempts out that do not stand yet
-        self.load = 0.0  # of its open and pending connections through this relay
-        self.told_us = 0  # when this instance was told that it drains or is gone
-        self.started_us = -1
+        self.pending, self.load = 0, 0.0  # attempts out that do not stand yet; of these and what is open
+        self.told_us, self.started_us = 0, -1  # when this instance was told that it drains or is gone
         self.state = i.BackendState.GONE
         self.forget()
 
+    def held(self) -> float:
+        """The load known of: this relay's and, while it hears of them, the others'."""
+        return self.load + self.others
+
     def forget(self) -> None:
         """A new process under this id: what was seen of the old one says nothing."""
-        self.ejected_until = self.ejections = self.strikes = self.errors = 0
+        self.ejected_until = self.ejections = self.strikes = self.errors = self.resets = 0
+        self.others, self.warned_us = 0.0, 0  # what other relays hold there; they find it late, until then
         self.trial = False  # ejected before; not yet seen to work again
         self.delay_ms = 0.0
-        self.resets = 0
         self.delay_us = self.resets_us = self.missed_us = -NOTE_US
         self.late_ms, self.late_us = 0.0, 0  # how much longer than usual set-ups take here
-        self.limit, self.limit_us = math.inf, -LIMIT_US  # on this relay's load there, learned from crowding
-        self.cold_from_us = -1  # start of its warm-up; -1: warm
-        self.tokens = 0.0
-        self.token_us = 0
+        self.limit, self.limit_us = math.inf, -LIMIT_US  # on the load known of, learned from crowding
+        self.cold_from_us, self.tokens, self.token_us = (
+            -1,
+            0.0,
+            0,
+        )  # start of its warm-up, -1: warm; its slots
 
 
 class _Request:
     def __init__(self, name: str, cls: i.RequestClass, hashed: int, deadline_us: int) -> None:
-        self.id = name
-        self.cls = cls
-        self.hash = hashed
-        self.deadline_us = deadline_us
-        self.attempts = 0
+        self.id, self.cls, self.hash, self.deadline_us = name, cls, hashed, deadline_us
         self.at: _Server | None = None  # where its attempt is out, or its connection stands
-        self.opened = False
         self.tried: tuple[_Server, ...] = ()
         self.ran_at: _Server | None = None  # the first attempt that may have run
-        self.sent_us = self.ran_us = 0
-        self.mid_flow = False
+        self.attempts = self.sent_us = self.ran_us = 0
+        self.opened = self.mid_flow = False
         self.client = 0  # hash of the client's own key where a group key decides; 0: none
-        self.load = 1.0
-        self.not_before_us = 0  # after an error it is not sent again before this
+        self.load, self.not_before_us = 1.0, 0  # after an error it is not sent again before this
 
 
 class Balancer:
@@ -127,9 +113,7 @@
 
     def __init__(self, settings: i.Settings, seed: int, now_us: int) -> None:
         check_settings(settings)
-        self._set = settings
-        self._random = Random(seed)
-        self._now = now_us
+        self._set, self._random, self._now = settings, Random(seed), now_us
         self._classes = {cls.name: cls for cls in settings.classes}
         aims = [cls.message_objective_us for cls in settings.classes if cls.message_objective_us > 0]
         self._aim_ms = min(aims) / 1_000 if aims else 0.0
@@ -141,28 +125,30 @@
         self._pump_set = self._follow_set = False
         self._token, self._moves = FOLLOW, dict[int, str]()  # who leaves a draining backend, by timer
         self._load, self._count, self._capacity = 0.0, 0, 0.0
-        self._pace, self._pace_tokens = 0.0, 1.0  # set-ups a second; 0: not limited
+        # Set-ups a second, 0: not limited; slots of it; at which pace it is no longer limited.
+        self._pace, self._pace_tokens, self._pace_free = 0.0, 1.0, 0.0
         self._pace_us = self._slowed_us = now_us
         self._took: deque[int] = deque(maxlen=LATEST_TOOK)  # what the latest set-ups took
-        self._setup_us = 0.0  # moving mean of what a set-up takes
-        self._succeeding = 1.0  # moving share of set-ups that succeed, failed connects left out
+        # Moving: the mean of what a set-up takes, and the share that succeed, failed connects left out.
+        self._setup_us, self._succeeding = 0.0, 1.0
         self._sends, self._sent_us = 0.0, now_us  # sends in about the last USUAL_US
-        self._pace_free = 0.0  # the pace at which it is no longer limited
         self._logged_us, self._unlogged = now_us - SECOND, 0
         self._groups: dict[int, float] = {}  # this relay's load by the key that decides
         self._class_load: dict[str, tuple[float, int]] = {}  # mean told load and notes it rests on
-        self._list_failures = 0
+        self._list_failures, self._recount_us, self._alert_until_us = 0, now_us, now_us
+        self._others, self._others_count, self._relays, self._others_until_us = 0.0, 0, 1, now_us
         self._out: list[i.Action] = []
         self._handlers: dict[type, Callable[..., None]] = {
             i.RequestArrived: self._arrived, i.ConnectionOpened: self._stands, i.AttemptEnded: self._ended,
             i.AttemptNotice: self._notice, i.ListUpdate: self._listed, i.TimerFired: self._timer,
-            i.ClientLeft: self._left, i.ConnectionResumed: self._resumed,
+            i.ClientLeft: self._left, i.ConnectionResumed: self._resumed, i.OthersHold: self._heard,
         }  # fmt: skip
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
         """Takes one event; returns what to do, in order."""
-        self._now = max(self._now, now_us)
-        self._out = []
+        self._now, self._out = max(self._now, now_us), []
+        if self._now >= self._others_until_us:
+            self._heard(NOBODY)
         if (handler := self._handlers.get(type(event))) is not None:
             handler(event)
         return self._out
@@ -185,6 +171,24 @@
         moves = place is not holder and all(s.cold_from_us < 0 for s in ahead)
         return place.id if moves and place is not None and place.cold_from_us < 0 else None
 
+    def holding(self) -> tuple[dict[int, float], int, bool, frozenset[int], bool]:
+        """What the others are to know: loads by backend, connections, whether loads were told, which backends
+        this relay finds late, and whether there is anything to look at."""
+        late = [s.id for s in self._ready if s.ejected_until > self._now or self._crowded(s, MOVE_AT)]
+        loads, alert = {s.id: s.load for s in self._ready}, bool(late) or self._now < self._alert_until_us
+        return loads, self._count, bool(self._class_load), frozenset(late), alert
+
+    def _heard(self, event: i.OthersHold) -> None:
+        if event.told and not self._class_load and event.connections:
+            self._told_first(sum(event.loads.values()) / event.connections)
+        if event.connections and event.told is not bool(self._class_load):
+            return
+        for server in self._servers.values():
+            server.others = event.loads.get(server.id, 0.0)
+            server.warned_us = event.until_us if server.id in event.warned else 0
+        self._others, self._others_count = sum(event.loads.values()), event.connections
+        self._relays, self._others_until_us = event.instances, event.until_us
+
     # ------------------------------------------------------------------ the backend list
 
     def _listed(self, event: i.ListUpdate) -> None:
@@ -195,12 +199,13 @@
         if event.kind is i.ListKind.FAILED:
             return
         named = {entry.id for entry in event.backends}
+        if named and event.kind is not i.ListKind.CACHED:
+            self._alert_until_us = self._now + self._set.cold_us
         for entry in event.backends:
             self._entry(entry)
-        if event.kind is not i.ListKind.DELTA:
-            for server in self._servers.values():
-                if server.id not in named:
-                    self._state(server, i.BackendState.GONE)
+        full = event.kind is not i.ListKind.DELTA
+        for server in (s for s in self._servers.values() if full and s.id not in named):
+            self._state(server, i.BackendState.GONE)
         listed = sorted(self._servers.values(), key=lambda s: s.id)
         self._ready = [s for s in listed if s.state is i.BackendState.READY]
         packed = b"".join(s.hash.to_bytes(LANE, "little") for s in self._ready)
@@ -323,6 +328,8 @@
         self._out.append(i.Send(request.id, server.id, until_us))
 
     def _choose(self, request: _Request) -> _Server | None:
+        if self._now >= self._recount_us:
+            self._recount()
         if request.mid_flow and request.attempts == 0:
             return self._holder(request)
         spare = last = None
@@ -355,10 +362,9 @@
 
     def _order(self, request: _Request) -> Iterator[_Server]:
         """The best scores, highest first. A group whose load here makes up several fair loads is heavier
-        than a backend: its connections spread over as many of its best scores, each by its own client key.
-        """
+        than a backend: its connections spread over as many of its best scores, each by its own client key."""
         spread = 1
-        if request.client and self._load > 0:
+        if request.client and self._load > 0 and not self._others:
             fair = SPREAD * self._load / max(1, len(self._ready))
             spread = 1 + int(max(0.0, self._groups.get(request.hash, 0.0) - self._unit() / 2) / fair)
         first: list[_Server] = []
@@ -375,8 +381,7 @@
 
     def _opens_us(self, request: _Request) -> float:
         """The earliest time at which a backend not tried yet may take the request, as things stand: what is
-        sure to keep every one shut for longer leaves nothing to wait for.
-        """
+        sure to keep every one shut for longer leaves nothing to wait for."""
         if request.mid_flow and request.attempts == 0:
             return self._now  # its holder may be listed yet
         opens = min((self._gates_open_us(s, request.load) for s in self._ready if self._may(request, s)),
@@ -391,14 +396,13 @@
         if self._crowded(server, 1.0):
             opens = max(opens, server.delay_us + NOTE_US)
         if not self._below_limit(server, load):
-            grown = (server.load + load / 2) / server.limit - 1.0 if server.limit > 0 else math.inf
+            grown = (server.held() + load / 2) / server.limit - 1.0 if server.limit > 0 else math.inf
             opens = max(opens, server.limit_us + SECOND * grown / LIMIT_GROWTH)
         if not self._warm_enough(server):
-            fair, age_us = self._fair(server), self._now - server.cold_from_us
-            share = self._set.cold_from + (1 - self._set.cold_from) * age_us / self._set.cold_us
-            rate = share * fair / max(self._unit(), 1e-9) / (2 * self._set.fall_us)
+            fair, age_us, share = self._fair(server), self._now - server.cold_from_us, self._share(server)
+            rate = self._slots(server, share * fair)
             slot_us = max(0.0, 1.0 - server.tokens) / rate if rate > 0 else math.inf
-            room = (server.load / fair - share) / (1 - self._set.cold_from) if fair > 0 else math.inf
+            room = (server.held() / fair - share) / (1 - self._set.cold_from) if fair > 0 else math.inf
             room_us = max(0.0, room) * self._set.cold_us
             opens = max(opens, self._now + min(max(slot_us, room_us), self._set.cold_us - age_us))
         return opens
@@ -441,36 +445,38 @@
     def _crowded(self, server: _Server, share: float) -> bool:
         """Acts while messages there take over this share of the shortest objective."""
         fresh = self._now - server.delay_us < NOTE_US
+        if self._now < server.warned_us and share < 1.0 and not fresh:
+            return True  # hearsay: others come first
         return fresh and server.delay_ms > max(self._aim_ms, 1.0) * share * 0.999
 
     def _bounded(self, server: _Server, load: float) -> bool:
         """Bounded loads. Acts when this relay's own load there is far over its fair share. The root
-        leaves room for chance where a relay sees only a few of a backend's connections.
-        """
+        leaves room for chance where a relay sees only a few of a backend's connections."""
         fair, unit = self._fair(server), self._unit()
         most = BOUND * fair + BOUND_ROOT * math.sqrt(fair * unit) + BOUND_MORE * unit
-        return server.load + load / 2 <= most
+        return server.held() + load / 2 <= most
 
     def _below_limit(self, server: _Server, load: float) -> bool:
         """Acts after a backend was crowded, until its limit has grown past this relay's load there."""
         grown = 1.0 + LIMIT_GROWTH * (self._now - server.limit_us) / SECOND
-        return server.load + load / 2 <= max(server.limit * grown, self._fair(server) / 4)
+        return server.held() + load / 2 <= max(server.limit * grown, self._fair(server) / 4)
 
     def _lower(self, server: _Server) -> None:
         """A crowded backend's limit falls under this relay's present load there, and grows again with
-        time: without it the same groups would flood back the moment it is no longer crowded.
-        """
+        time: without it the same groups would flood back the moment it is no longer crowded."""
         if self._now - server.limit_us >= LIMIT_US:
-            server.limit = LIMIT_CUT * min(server.limit, server.load)
+            server.limit = LIMIT_CUT * min(server.limit, server.held())
             server.limit_us = self._now
 
     def _unit(self) -> float:
-        """The mean load of this relay's connections."""
-        return max(0.0, self._load) / self._count if self._count else 1.0
+        """The mean load of the connections known of."""
+        count = self._count + self._others_count
+        return max(0.0, self._load + self._others) / count if count else 1.0
 
     def _fair(self, server: _Server) -> float:
-        """The server's share of this relay's load, by capacity, among the healthy."""
-        return max(0.0, self._load) * server.capacity / self._capacity if self._capacity > 0 else 0.0
+        """What a warm server's share of the load known of is, by present capacity, among the healthy."""
+        load = max(0.0, self._load + self._others)
+        return load * server.capacity / self._capacity if self._capacity > 0 else 0.0
 
     def _weigh(self, request: _Request, server: _Server, sign: float) -> None:
         """Books a connection's load at its server and in the sum, or takes it off."""
@@ -483,13 +489,13 @@
             del self._groups[request.hash]
 
     def _recount(self) -> None:
-        self._capacity = sum(s.capacity for s in self._ready if s.ejected_until <= self._now)
+        self._recount_us = self._now + PUMP_US  # those that warm up have more by then
+        self._capacity = sum(s.capacity * self._share(s) for s in self._ready if s.ejected_until <= self._now)
 
     def _paced(self, request: _Request) -> bool:
         """Congestion control of set-ups. Acts after backends answer set-ups with errors, as when a store
         that they share is overloaded: sends are then spaced at a rate that falls with errors and grows
-        with time; a request that met an error waits before it is sent again.
-        """
+        with time; a request that met an error waits before it is sent again."""
         if request.not_before_us > self._now:
             return False
         if self._pace <= 0:
@@ -516,31 +522,38 @@
         self._pace_us = self._slowed_us = self._now
         self._pace_tokens = min(self._pace_tokens, 0.0)
 
+    def _share(self, server: _Server) -> float:
+        """What a backend is sure to have of its capacity: less than 1 while it warms up."""
+        if server.cold_from_us < 0:
+            return 1.0
+        age = (self._now - server.cold_from_us) / self._set.cold_us
+        return min(1.0, self._set.cold_from + (1 - self._set.cold_from) * age)
+
     def _warm_enough(self, server: _Server) -> bool:
         """Slow start. Acts during the warm-up. This relay's load there stays under the fair load times the
         share of its capacity that the backend is sure to have. Sends are slots: in two windows as many come
         free as make up that load. A slot unused for (multiple - 1) windows lapses, so that relays that saved
-        theirs up cannot spend more at once than the multiple; standing load takes the rest.
-        """
-        if server.cold_from_us < 0:
-            return True
-        age_us = self._now - server.cold_from_us
-        if age_us >= self._set.cold_us:
+        theirs up cannot spend more at once than the multiple; standing load takes the rest."""
+        if self._share(server) >= 1.0:
             server.cold_from_us = -1
             return True
-        share = self._set.cold_from + (1 - self._set.cold_from) * age_us / self._set.cold_us
-        allowed = share * self._fair(server)
-        rate = allowed / max(self._unit(), 1e-9) / (2 * self._set.fall_us)
+        allowed = self._share(server) * self._fair(server)
+        rate = self._slots(server, allowed)
         server.tokens += rate * (self._now - server.token_us)
         server.token_us = self._now
         full = 1.0 + rate * self._set.fall_us * max(1.0, self._set.fall_multiple - 1)
         if server.tokens >= full:
             server.tokens = full - 1.0 + (server.tokens - full) % 1.0
-        return server.tokens >= 1.0 and server.load <= allowed
+        return server.tokens >= 1.0 and server.held() <= allowed
+
+    def _slots(self, server: _Server, allowed: float) -> float:
+        """Sends a microsecond that this relay may make to a cold backend, of all relays' slots. Most lapse
+        where few come to each, so there are more while the sum of all is heard and shuts the gate."""
+        part = (SLOTS_HEARD if self._relays > 1 else 1.0) / self._relays
+        return part * allowed / max(self._unit(), 1e-9) / (2 * self._set.fall_us)
 
     def _chill(self, server: _Server, since_us: int) -> None:
-        server.cold_from_us = since_us
-        server.token_us = self._now
+        server.cold_from_us, server.token_us = since_us, self._now
         # relays fill their buckets from different levels, or they would all send in the same moment
         server.tokens = self._random.random()
 
@@ -562,8 +575,7 @@
     def _timed(self, server: _Server, took_us: int) -> None:
         """Set-ups queue behind the same work as messages: what one takes beyond the usual, a message waits
         there too. On sockets no delay note tells of it, and what was moved off only comes to better where
-        another backend is not crowded.
-        """
+        another backend is not crowded."""
         self._took.append(took_us)
         usual_us = sorted(self._took)[len(self._took) // 4]
         late_ms = max(0, took_us - usual_us) / 1000
@@ -572,10 +584,8 @@
         told = self._now - server.delay_us < SECOND
         if server.late_ms <= self._aim_ms / 2 or told or len(self._took) < FEW_TOOK:
             return
-        room = any(
-            s is not server and self._healthy(s) and not self._crowded(s, 0.5) and self._bounded(s, 0.0)
-            for s in self._ready
-        )
+        well = (s for s in self._ready if s is not server and self._healthy(s))
+        room = any(not self._crowded(s, 0.5) and self._bounded(s, 0.0) for s in well)
         server.delay_ms = server.late_ms if room else min(server.late_ms, 0.9 * self._aim_ms)
         server.delay_us = self._now
         if room and self._crowded(server, MOVE_AT):  # a limit for a passing burst would hold everybody
@@ -593,8 +603,7 @@
         else:
             server.pending -= 1
         self._weigh(request, server, -1.0)
-        request.at = None
-        request.opened = False
+        request.at, request.opened = None, False
         self._judge(server, event.outcome, stood)
         if event.outcome not in NEVER_RAN and request.ran_at is None:
             request.ran_at, request.ran_us = server, request.sent_us
@@ -618,10 +627,7 @@
         """The one final answer: a refusal only where trying again is known to be harmless."""
         self._held.pop(request.id, None)
         del self._requests[request.id]
-        if request.ran_at is None:
-            self._out.append(i.Refuse(request.id, self._retry_after()))
-        else:
-            self._out.append(i.Fail(request.id))
+        self._out.append(i.Fail(request.id) if request.ran_at else i.Refuse(request.id, self._retry_after()))
 
     def _retry_after(self) -> int:
         longest_us = self._set.max_retry_after_us * (0.25 + 0.75 * self._random.random())
@@ -663,8 +669,7 @@
 
     def _strain(self, server: _Server) -> None:
         """A backend that drops connections or set-ups is crowded, though no delay note may ever say so:
-        what it drops leaves it looking empty, and the same keys would come straight back.
-        """
+        what it drops leaves it looking empty, and the same keys would come straight back."""
         server.delay_ms, server.delay_us = max(server.delay_ms, self._aim_ms, 1.0), self._now
         self._lower(server)
 
@@ -716,12 +721,7 @@
     def _told(self, request: _Request, load: float) -> None:
         """A connection's load, by hint or note. Until the first one every connection counts 1."""
         if not self._class_load:
-            for server in self._servers.values():
-                server.load *= load
-            for other in self._requests.values():
-                other.load *= load
-            self._groups = {known: sum_ * load for known, sum_ in self._groups.items()}
-            self._load *= load
+            self._told_first(load)
         mean, count = self._class_load.get(request.cls.name, (0.0, 0))
         count = min(count + 1, CLASS_NOTES)
         self._class_load[request.cls.name] = (mean + (load - mean) / count, count)
@@ -731,16 +731,24 @@
             self._load += load - request.load
         request.load = load
 
+    def _told_first(self, load: float) -> None:
+        self._class_load[""] = (load, 0)
+        ones: list[_Server | _Request] = [*self._servers.values(), *self._requests.values()]
+        for one in ones:
+            one.load *= load
+        self._groups = {known: sum_ * load for known, sum_ in self._groups.items()}
+        self._load *= load
+
     def _relieve(self, server: _Server, room: bool = False) -> None:
         """Moves connections off a backend whose messages miss the objective. Every relay hears of the
         delay and moves the same share of its own, or what is over its fair load there if there is room
         elsewhere: first those that score higher elsewhere by now, the heaviest of them first, so that few
         are moved for the same relief.
-        In a full fleet those moved are refused until there is room, so that the rest are served.
-        """
+        In a full fleet those moved are refused until there is room, so that the rest are served."""
         if not self._crowded(server, MOVE_AT):
             return
-        excess = max(server.load * MOVE_SHARE, server.load - self._fair(server) if room else 0.0)
+        over = 1.0 - self._fair(server) / max(server.held(), 1e-9)
+        excess = server.load * max(MOVE_SHARE, over if room else 0.0)
         hashes = [s.hash for s in self._ready if s.ejected_until <= self._now]
 
         def keeps(request: _Request) -> tuple[bool, float]:
@@ -773,8 +781,7 @@
 
     def _pump(self) -> None:
         """Held requests: another look, and the refusal while it still counts. After some looks in vain the
-        rest wait for the next round, first in line then: in a full fleet looks cost CPU and find nothing.
-        """
+        rest wait for the next round, first in line then: in a full fleet looks cost CPU and find nothing."""
         misses = 0
         opens = min((self._gates_open_us(s, 0.0) for s in self._ready), default=math.inf)
         for request in list(self._held.values()):
--- a/sailrun/interface.py
+++ b/sailrun/interface.py
@@ -220,6 +220,21 @@
     content: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class OthersHold:
+    """What the other instances hold together at each backend, in this one's unit or, before the first
+    connection's load was told here, in us of work a second. Hearsay: it may warn of a backend and count its
+    load, and lists none.
+    """
+
+    loads: dict[int, float]
+    connections: int
+    told: bool  # loads are us of work a second, not connections
+    instances: int  # that were heard, this one among them
+    warned: frozenset[int]
+    until_us: int  # nothing is known of the others from then on
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     token: int
@@ -235,6 +250,7 @@
     | AttemptEnded
     | ProbeEnded
     | PeerMessage
+    | OthersHold
     | TimerFired
 )
 
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -18,6 +18,8 @@
 
 from sailrun import interface as i
 from sailrun.decide import Balancer
+from sailrun.fleet.digest import VERSION
+from sailrun.fleet.rounds import HOLDS_US, Holding, Others, Rounds
 from sailrun.node.clock import Clock, log
 from sailrun.node.session import FormServer, FormSession, Placement, RosterNews, server_number
 from sailrun.node.watch import ServerWatch
@@ -26,6 +28,7 @@
     from sailrun.rebalance.balance import Rebalancer
 
 SECOND = 1_000_000
+FLEET = bytes((VERSION,))
 SWEEP_US = 100_000
 PULSE_US = 10 * SECOND
 # A planned restart: the platform kills no earlier than the longest deadline, taken as 3 s at most, plus
@@ -79,6 +82,10 @@
         self.leaving = False  # asked to stop: everybody is being sent away
         self._now = clock.now_us()
         self._module = Balancer(settings, seed, self._now)
+        # What the tier holds together, where its nodes may talk.
+        self._fleet: Rounds | None = None
+        if settings.peer_messages and settings.instances > 1:
+            self._fleet = Rounds(settings.index, settings.instances, seed, self._now)
         self._calls: deque[Callable[[], None]] = deque()
         self._sessions: dict[str, FormSession] = {}
         self._form_servers: dict[int, FormServer] = {}
@@ -188,7 +195,8 @@
 
     def due_us(self) -> int:
         """When a turn is due even if nobody calls."""
-        return min(self._sweep_us, self._timers[0][0] if self._timers else self._sweep_us)
+        fleet_us = self._fleet.due_us() if self._fleet is not None else self._sweep_us
+        return min(self._sweep_us, fleet_us, self._timers[0][0] if self._timers else self._sweep_us)
 
     def turn(self, now_us: int) -> None:
         """Does all that has come in, and what the time has come for."""
@@ -197,6 +205,12 @@
             self._calls.popleft()()
         while self._timers and self._timers[0][0] <= self._now:
             self._feed(i.TimerFired(heapq.heappop(self._timers)[1]))
+        if self._fleet is not None and self._now >= self._fleet.due_us():
+            outgoing, others = self._fleet.turn(self._now, self._holding())
+            for neighbour, content in outgoing:
+                if self.neighbours is not None:
+                    self.neighbours.tell(neighbour, content)
+            self._others_hold(others)
         if self._now >= self._sweep_us:
             self._sweep_us = self._now + SWEEP_US
             self._sweep()
@@ -417,7 +431,22 @@
         self._aside(lambda rebalancer: rebalancer.roster_lost(self._now))
         self._feed(i.ListUpdate(i.ListKind.FAILED))
 
+    def _holding(self) -> Holding:
+        return Holding(*self._module.holding())
+
+    def _others_hold(self, others: Others | None) -> None:
+        if others is not None:
+            until_us = self._now + HOLDS_US
+            self._feed(
+                i.OthersHold(
+                    others.loads, others.connections, others.told, others.nodes, others.warned, until_us
+                )
+            )
+
     def _neighbour_said(self, neighbour: int, content: bytes) -> None:
+        if self._fleet is not None and content[:1] == FLEET:
+            self._others_hold(self._fleet.heard(self._now, neighbour, content, self._holding()))
+            return
         self._aside(lambda rebalancer: rebalancer.heard(self._now, neighbour, content))
         self._feed(i.PeerMessage(neighbour, content))
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,6 +5,7 @@
 import heapq
 from collections import Counter
 from itertools import count
+from random import Random
 
 import pytest
 
@@ -58,3 +59,96 @@
 def test_four_nodes_are_not_kept_waiting_for_the_sake_of_forty(seed: int) -> None:
     stood, _ = starts_all_at_once(4, 7.5, seed)
     assert stood[-1] < 2 * SECOND
+
+
+# ---------------------------------------------------------------- cold form servers, filled by all
+
+
+def fills_a_cold_server(nodes: int, seed: int) -> tuple[list[int], float]:
+    """Twenty sessions stand on each of ten form servers, spread over the nodes; then an eleventh starts,
+    while sessions end and come back all the time. Returns when each send to it was made, and what it held
+    at last. The nodes hear every two seconds what the others hold, as a sum.
+    """
+    random = Random(seed)
+    told = settings(instances=nodes, cold_us=24 * SECOND, cold_from=0.13, fall_us=3 * SECOND)
+    relays = [Balancer(told, seed * 1_000 + n, 0) for n in range(nodes)]
+    old = tuple(backend(s) for s in range(10))
+    standing: list[tuple[int, str, int]] = []
+    for relay in relays:
+        relay.handle(0, i.ListUpdate(i.ListKind.FULL, 1, old))
+    names = count()
+    sends: list[int] = []
+
+    def come(now: int, n: int) -> None:
+        name = f"r{next(names)}"
+        for action in relays[n].handle(now, i.RequestArrived(name, "stream", SECOND, name)):
+            if isinstance(action, i.Send):
+                if action.backend == 10:
+                    sends.append(now)
+                relays[n].handle(now, i.ConnectionOpened(name, 0, action.backend, 10_000))
+                standing.append((n, name, action.backend))
+
+    for _ in range(200):
+        come(1, random.randrange(nodes))
+    began = 10 * SECOND
+    for relay in relays:
+        relay.handle(began, i.ListUpdate(i.ListKind.DELTA, 2, (backend(10, 1, began),)))
+    for now in range(began, began + 24 * SECOND, 100_000):
+        if now % (2 * SECOND) == 0:
+            held = [relay.holding() for relay in relays]
+            for n, relay in enumerate(relays):
+                rest = [h for k, h in enumerate(held) if k != n]
+                loads = {s: sum(h[0][s] for h in rest) for s in range(11)}
+                others = sum(h[1] for h in rest)
+                until = now + 7 * SECOND
+                relay.handle(now, i.OthersHold(loads, others, False, nodes, frozenset(), until))
+        n, name, server = standing.pop(random.randrange(len(standing)))
+        relays[n].handle(now, i.AttemptEnded(name, 0, server, i.Outcome.OK, True))
+        come(now, random.randrange(nodes))
+    return [at - began for at in sends], sum(server == 10 for _, _, server in standing)
+
+
+@pytest.mark.parametrize("nodes", [4, 40])
+@pytest.mark.parametrize("seed", range(4))
+def test_all_nodes_together_fill_a_cold_server_as_fast_as_it_warms_up(nodes: int, seed: int) -> None:
+    sends, held = fills_a_cold_server(nodes, seed)
+    fair = 200 / 11
+    for start in sends:
+        share = 0.13 + 0.87 * start / (24 * SECOND)
+        window = sum(start <= at < start + 3 * SECOND for at in sends)
+        # Its present capacity is at least the load it may hold by now; the rule allows three times that.
+        assert window <= 3 * max(1.0, share * fair)
+    assert 0.4 * fair <= held <= 1.3 * fair
+
+
+def test_what_the_others_hold_bounds_a_form_server_that_looks_empty_from_here() -> None:
+    relay = Balancer(settings(instances=40), 1, 0)
+    relay.handle(0, i.ListUpdate(i.ListKind.FULL, 1, tuple(backend(s) for s in range(4))))
+
+    def sent(at: int, name: str) -> int:
+        (action,) = relay.handle(at, i.RequestArrived(name, "stream", SECOND, "k"))
+        assert isinstance(action, i.Send)
+        relay.handle(at, i.ConnectionOpened(name, 0, action.backend, 10_000))
+        relay.handle(at, i.AttemptEnded(name, 0, action.backend, i.Outcome.OK, True))
+        return action.backend
+
+    home = sent(1, "a")
+    crowd = {s: 60.0 if s == home else 10.0 for s in range(4)}
+    relay.handle(2, i.OthersHold(crowd, 90, False, 40, frozenset(), SECOND))
+    assert sent(3, "b") != home
+    assert sent(SECOND + 1, "c") == home  # what was heard is too old by now
+
+
+def test_a_warning_makes_others_come_first_and_lists_nobody() -> None:
+    relay = Balancer(settings(instances=40), 1, 0)
+    relay.handle(0, i.ListUpdate(i.ListKind.FULL, 1, (backend(1), backend(2))))
+    for n in range(20):
+        at = 10 + n
+        relay.handle(at, i.OthersHold({1: 20.0, 2: 20.0, 9: 5.0}, 45, False, 40, frozenset({1, 9}), SECOND))
+        (action,) = relay.handle(at, i.RequestArrived(f"r{n}", "stream", SECOND, f"k{n}"))
+        assert isinstance(action, i.Send) and action.backend == 2
+        relay.handle(at, i.ConnectionOpened(f"r{n}", 0, 2, 10_000))
+        relay.handle(at, i.AttemptEnded(f"r{n}", 0, 2, i.Outcome.OK, True))
+    relay.handle(50, i.ListUpdate(i.ListKind.FULL, 2, (backend(1),)))
+    (action,) = relay.handle(60, i.RequestArrived("last", "stream", SECOND, "k"))
+    assert isinstance(action, i.Send) and action.backend == 1  # the only one there is, warned of or not
