--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -49,8 +49,7 @@
 # Errors mean congestion while set-ups take this share of the wanted time, or where most of them fail; so
 # many in a row, at a few backends only, are theirs; the first wait after one, doubled at each further one.
 SLOW, ERRORS, ERROR_WAIT_US = 0.25, 3, 200_000
-# An attempt is given up after the set-up objective or this multiple of what set-ups take, if longer.
-PATIENCE = 8.0
+PATIENCE = 8.0  # an attempt is given up after the objective or so many times what set-ups take, if longer
 NOBODY = i.OthersHold({}, 0, False, 1, frozenset(), 1 << 62)
 NEVER_RAN = (i.Outcome.REJECTED, i.Outcome.CONNECT_FAILED, i.Outcome.NOT_SENT)
 
@@ -584,14 +583,16 @@
         told = self._now - server.delay_us < SECOND
         if server.late_ms <= self._aim_ms / 2 or told or len(self._took) < FEW_TOOK:
             return
-        well = (s for s in self._ready if s is not server and self._healthy(s))
-        room = any(not self._crowded(s, 0.5) and self._bounded(s, 0.0) for s in well)
+        room, server.delay_us = self._room(server), self._now
         server.delay_ms = server.late_ms if room else min(server.late_ms, 0.9 * self._aim_ms)
-        server.delay_us = self._now
         if room and self._crowded(server, MOVE_AT):  # a limit for a passing burst would hold everybody
             self._lower(server)
             self._relieve(server, room)
 
+    def _room(self, server: _Server) -> bool:
+        well = (s for s in self._ready if s is not server and self._healthy(s))
+        return any(not self._crowded(s, 0.5) and self._bounded(s, 0.0) for s in well)
+
     def _ended(self, event: i.AttemptEnded) -> None:
         request = self._requests.get(event.request)
         server = request.at if request else None
@@ -716,7 +717,7 @@
             server.delay_ms, server.delay_us = event.value, self._now
             if self._crowded(server, 0.5):
                 self._lower(server)
-            self._relieve(server)
+            self._relieve(server, self._relays > 1 and self._room(server))
 
     def _told(self, request: _Request, load: float) -> None:
         """A connection's load, by hint or note. Until the first one every connection counts 1."""
@@ -747,7 +748,7 @@
         In a full fleet those moved are refused until there is room, so that the rest are served."""
         if not self._crowded(server, MOVE_AT):
             return
-        over = 1.0 - self._fair(server) / max(server.held(), 1e-9)
+        over = (1.0 - self._fair(server) / max(server.held(), 1e-9)) / (2 if self._relays > 1 else 1)
         excess = server.load * max(MOVE_SHARE, over if room else 0.0)
         hashes = [s.hash for s in self._ready if s.ejected_until <= self._now]
 
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -84,6 +84,7 @@
         self._module = Balancer(settings, seed, self._now)
         # What the tier holds together, where its nodes may talk.
         self._fleet: Rounds | None = None
+        self._heard_of = 0  # nodes that the last sum spoke for
         if settings.peer_messages and settings.instances > 1:
             self._fleet = Rounds(settings.index, settings.instances, seed, self._now)
         self._calls: deque[Callable[[], None]] = deque()
@@ -436,6 +437,7 @@
 
     def _others_hold(self, others: Others | None) -> None:
         if others is not None:
+            self._heard_of = others.nodes
             until_us = self._now + HOLDS_US
             self._feed(
                 i.OthersHold(
@@ -545,7 +547,8 @@
                 took = f"{delay_us / 1000:.1f}ms" if delay_us is not None else "-"
                 shown.append(f"{self._name(number)}:{len(watch.sessions)}/{took}")
         waiting = sum(1 for s in self._sessions.values() if not s.over)
-        self._log("pulse", waiting=waiting, standing=",".join(shown) or "none")
+        fleet = f"{self._heard_of}/{self._fleet.refused}" if self._fleet is not None else None
+        self._log("pulse", waiting=waiting, standing=",".join(shown) or "none", fleet=fleet)
 
     def _name(self, number: int) -> str:
         known = self._form_servers.get(number)
