Play herd, zone and join in the laboratory; bound the datagrams of large tiers

At fault: rounds of 2 s whatever the tier's size. A round now takes 50 ms for each node, at least 2 s: beyond forty nodes the tier sends no more datagrams than forty do.

--- a/sailrun/fleet/rounds.py
+++ b/sailrun/fleet/rounds.py
@@ -16,14 +16,13 @@
 from sailrun.fleet.digest import BadDatagram, Digest, read, room, short, write
 
 SECOND = 1_000_000
-# A round: as often as there is something to look at, and else so many times more seldom.
-ROUND_US, SELDOM = 2 * SECOND, 4
+# A round, as often as that where there is something to look at, else so many times more seldom. Each costs
+# two datagrams a node: beyond forty nodes rounds are longer, so that the tier sends no more of them.
+ROUND_US, SELDOM, NODE_US = 2 * SECOND, 4, 50_000
 # Within a round: all tell within the first while, the collector adds up after the second.
 TELL_US, COLLECT_US = 200_000, 300_000
 # Whoever saw something to look at, or heard that others do, goes on looking for so long.
 ALERT_US = 6 * SECOND
-# A sum holds for so long: one round may be lost, and at the most two.
-HOLDS_US = 3 * ROUND_US + SECOND
 # A warning counts if so many of those heard give it, and this share of them, the node itself among them.
 WARN_LEAST = 2
 
@@ -58,10 +57,13 @@
     def __init__(self, index: int, nodes: int, seed: int, now_us: int) -> None:
         self._index, self._nodes, self._room = index, nodes, room(nodes)
         self._random = Random(seed)
+        self._round_us = max(ROUND_US, NODE_US * nodes)
+        # A sum holds for so long: one round may be lost, and at the most two.
+        self.holds_us = 3 * self._round_us + SECOND
         self._alert_until_us = now_us
         self._collecting: dict[int, Digest] = {}  # the round's tellings, by node
         self._own: dict[int, Digest] = {}  # what this node told, by round
-        self._round = now_us // ROUND_US  # the one under way
+        self._round = now_us // self._round_us  # the one under way
         self._tell_us = self._at(TELL_US, 1)
         self._sum_us = self._sum_round = 0  # when this node adds up, for which round; 0: not this time
         self.refused = 0  # datagrams that were none, or came too late
@@ -86,7 +88,7 @@
             out.append((None, write(total, self._nodes)))
             others = self._others(total, holding)
         if now_us >= self._tell_us:
-            self._round = now_us // ROUND_US
+            self._round = now_us // self._round_us
             if now_us < self._alert_until_us or self._round % SELDOM == 0:
                 self._tell(now_us, holding, out)
             self._tell_us = self._at(TELL_US, 1)
@@ -107,13 +109,13 @@
         except BadDatagram:
             self.refused += 1
             return None
-        number = now_us // ROUND_US
+        number = now_us // self._round_us
         mine = self.collector(digest.round) == self._index
         if digest.voices is None:
             if not mine or not number <= digest.round <= number + 1:
                 self.refused += 1
                 return None
-            if now_us >= digest.round * ROUND_US + COLLECT_US:
+            if now_us >= digest.round * self._round_us + COLLECT_US:
                 self.refused += 1
                 return None
             self._collect(digest.round)
@@ -131,11 +133,11 @@
     def _collect(self, number: int) -> None:
         if self._sum_round != number:
             self._collecting = {}
-        self._sum_round, self._sum_us = number, number * ROUND_US + COLLECT_US
+        self._sum_round, self._sum_us = number, number * self._round_us + COLLECT_US
 
     def _at(self, within_us: int, later: int = 0) -> int:
         """A time of its own within a round: nodes that tell in the same instant would be lost together."""
-        return (self._round + later) * ROUND_US + int(within_us * self._random.random())
+        return (self._round + later) * self._round_us + int(within_us * self._random.random())
 
     def _digest(self, holding: Holding, alert: bool) -> Digest:
         # The heaviest, if they do not all go in.
--- a/sailrun/lab/experiments.py
+++ b/sailrun/lab/experiments.py
@@ -57,6 +57,32 @@
         day.time.after(luck.whole((32 * SECOND, 40 * SECOND)), day.kill, slots[luck.below(len(slots))])
 
 
+def _herd(day: World[Any]) -> None:
+    """Form servers are replaced one by one, and in the middle of it seven in ten nodes are killed at once."""
+    for n, server in enumerate(_picked(day, 0.5)):
+        day.time.after(3 * SECOND + n * SECOND // 2, day.drain, server, SECOND)
+    for slot in day.slots[: round(0.7 * len(day.slots))]:
+        day.time.after(6 * SECOND, day.kill, slot)
+
+
+def _zone(day: World[Any]) -> None:
+    """A data centre is lost with its nodes and form servers, and returns cold."""
+    lost = day.terms.zones[day.luck.below(len(day.terms.zones))]
+    for server in day.servers.values():
+        if server.zone == lost:
+            day.time.after(5 * SECOND, day.crash, server, 6 * SECOND)
+    for slot in day.slots:
+        if slot.zone == lost:
+            day.time.after(5 * SECOND, day.kill, slot)
+
+
+def _join(day: World[Any]) -> None:
+    """Six in ten form servers are replaced within 7 s."""
+    servers = _picked(day, 0.6)
+    for n, server in enumerate(servers):
+        day.time.after(3 * SECOND + n * 7 * SECOND // len(servers), day.drain, server, SECOND)
+
+
 def _drain_and_crash(day: World[Any]) -> None:
     leaving, breaking = _picked(day, 0.0, 2)
     day.time.after(2 * SECOND, day.drain, leaving, 3 * SECOND)
@@ -85,6 +111,10 @@
 
 
 _LARGE: dict[str, Any] = {"form_servers": 20, "nodes": 4, "households": 1_200, "seconds": 90.0}
+_FLEET: dict[str, Any] = {
+    **{"form_servers": 13, "nodes": 40, "households": 130},
+    **{"seconds": 40.0, "utilization": 0.4, "roster_per_s": 7.5},
+}
 _EVEN = {"rebalance": {"even_after_s": 60.0, "moves_over_fewest": 1.3}}
 
 EXPERIMENTS = {
@@ -119,6 +149,14 @@
             script=_everything,
             holders=_a_third,
         ),
+        Experiment(
+            "herd",
+            "seven in ten nodes are killed at once while form servers are replaced",
+            _FLEET,
+            script=_herd,
+        ),
+        Experiment("zone", "a data centre is lost and returns cold", _FLEET, script=_zone),
+        Experiment("join", "six in ten form servers are replaced within 7 s", _FLEET, script=_join),
         Experiment("troubled", "every trouble once", {"seconds": 60.0}, script=_everything),
     )
 }
--- a/sailrun/lab/run.py
+++ b/sailrun/lab/run.py
@@ -20,7 +20,7 @@
 from sailrun.lab.world import World
 from sailrun.rebalance.terms import RebalanceTerms
 
-SUBSYSTEMS = ("rebalance",)
+SUBSYSTEMS = ("rebalance", "fleet")
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +116,8 @@
         seconds=request.seconds,
         utilization=request.utilization,
         datagrams_lost=request.datagrams_lost,
+        # Without talk a node has only its own sessions to go by; the rebalancer's datagrams are its own.
+        peer_messages=False if "fleet" in request.off else None,
     )
 
 
@@ -152,6 +154,8 @@
     found = figures(day.records, day.moves, day.fewest, day.clients, day.warm_s, day.datagram_bytes)
     found["datagrams_a_request"] = round(day.datagrams / max(1.0, found["requests"]), 4)
     found["datagram_bytes_a_request"] = round(day.datagram_bytes / max(1.0, found["requests"]), 2)
+    found["most_roster_calls_a_second"] = float(max(day.roster.calls.values(), default=0))
+    found["roster_calls_given_up"] = float(day.roster.given_up)
     pressures = [s.most_pressure for s in day.servers.values()]
     found["most_pressure_on_a_cold_server"] = round(max(pressures, default=0.0), 4)
     return found
--- a/sailrun/lab/terms.py
+++ b/sailrun/lab/terms.py
@@ -74,6 +74,9 @@
     notice_us: tuple[int, int] = (1_700_000, 4_500_000)
     silent_notice_us: tuple[int, int] = (5_200_000, 12_000_000)
     call_us: tuple[int, int] = (28_000, 86_000)
+    # New watches that it takes a second, in turn, also those it has given up after so long; 0: all there are.
+    roster_per_s: float = 0.0
+    roster_patience_us: int = 2_000_000
     # What the nodes are told.
     tick_us: int = 5_000
     max_attempts: int = 5
--- a/sailrun/lab/virtual.py
+++ b/sailrun/lab/virtual.py
@@ -237,16 +237,36 @@
     def watch(self, active: bool) -> None:
         self._slot.watching = active
         if active:
-            self._day.roster.call(self._slot)
+            self._day.roster.ask(self._slot)
 
     def fetch(self) -> None:
-        self._day.roster.call(self._slot)
+        self._day.roster.ask(self._slot)
 
 
 class VirtualRoster(RosterBook):
     def __init__(self, day: VirtualDay) -> None:
         super().__init__(day)
         self._day = day
+        self._free_us = 0  # when it has done with those that wait in turn
+
+    def ask(self, slot: VirtualSlot) -> None:
+        """A call out of turn: those for a watch that stands cost the roster nothing more."""
+        time, terms = self._day.time, self._day.terms
+        self.calls[int(self._day.second)] += 1
+        if not terms.roster_per_s:
+            self.call(slot)
+            return
+        self._free_us = max(self._free_us, time.now_us) + int(SECOND / terms.roster_per_s)
+        if self._free_us - time.now_us > terms.roster_patience_us:
+            self.given_up += 1
+            time.after(terms.roster_patience_us, self._turned_away, slot, slot.node)
+        else:
+            time.at(self._free_us, self._answer, slot, slot.node)
+
+    def _turned_away(self, slot: VirtualSlot, node: Node | None) -> None:
+        if node is not None and slot.node is node:
+            slot.watching = False
+            node.roster_failed("waited too long")
 
     def published(self) -> None:
         for slot in self._day.slots:
--- a/sailrun/lab/world.py
+++ b/sailrun/lab/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import Any, Generic, Protocol, TypeVar
 
@@ -60,6 +61,8 @@
         self._changes: list[tuple[int, FormServer]] = []
         self.reachable = True
         self.late_us = 0
+        self.calls: Counter[int] = Counter()  # for a new watch, by second
+        self.given_up = 0  # those that waited too long
 
     def change(self, server: FormServerModel, state: BackendState, notice: tuple[int, int]) -> None:
         """Something happened to a server, now; the roster will know of it later."""
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -19,7 +19,7 @@
 from sailrun import interface as i
 from sailrun.decide import Balancer
 from sailrun.fleet.digest import VERSION
-from sailrun.fleet.rounds import HOLDS_US, Holding, Others, Rounds
+from sailrun.fleet.rounds import Holding, Others, Rounds
 from sailrun.node.clock import Clock, log
 from sailrun.node.session import FormServer, FormSession, Placement, RosterNews, server_number
 from sailrun.node.watch import ServerWatch
@@ -436,9 +436,9 @@
         return Holding(*self._module.holding())
 
     def _others_hold(self, others: Others | None) -> None:
-        if others is not None:
+        if others is not None and self._fleet is not None:
             self._heard_of = others.nodes
-            until_us = self._now + HOLDS_US
+            until_us = self._now + self._fleet.holds_us
             self._feed(
                 i.OthersHold(
                     others.loads, others.connections, others.told, others.nodes, others.warned, until_us
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -182,3 +182,15 @@
     for experiment in EXPERIMENTS.values():
         assert experiment.world(nodes=3).nodes == 3
         assert experiment.world().connections >= experiment.world().households
+
+
+@pytest.mark.parametrize("name", ["herd", "zone", "join"])
+def test_many_nodes_keep_the_rules_and_the_roster_free(name: str) -> None:
+    for nodes in (4, 40):
+        for seed in (1, 2, 3):
+            for off in (frozenset({"rebalance"}), frozenset({"rebalance", "fleet"})):
+                summary, _ = play(Request(name, seed=seed, nodes=nodes, off=off))
+                assert [c.name for c in summary.checks if not c.holds] == []
+                assert (summary.figures["roster_calls_given_up"] or 0) <= nodes // 4
+                datagrams = summary.figures["datagrams_a_request"] or 0
+                assert datagrams > 0 if "fleet" not in off else datagrams == 0
