Say plainly what the slots of a cold form server and a warning rest on

Read over once more: a constant's comment promised a share of voices that nothing asks for, and three values of a record were spread over five lines.

--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -36,8 +36,10 @@
 DEPTH, SPREAD, CLASS_NOTES = 24, 0.7, 200
 # A delay note older than this says nothing any more. What breaks within so long broke for one reason.
 NOTE_US, BURST_US = 2_500_000, 1 * SECOND
-LATEST_TOOK, FEW_TOOK = 64, 8  # what a set-up usually takes: the lower quarter of the latest, of a few
+# What a set-up usually takes: the lower quarter of so many latest ones, once there are a few.
+LATEST_TOOK, FEW_TOOK = 64, 8
 # Bounded loads: a backend admits up to this multiple of its fair share, some roots of it and connections.
+# While the others are heard, there are so many times the slots at a cold one.
 BOUND, BOUND_ROOT, BOUND_MORE, SLOTS_HEARD = 1.15, 1.0, 1.0, 3.0
 # A crowded backend's limit: at most one cut in so long, to this share; its growth a second.
 LIMIT_US, LIMIT_CUT, LIMIT_GROWTH = 900_000, 0.85, 0.1
@@ -88,11 +90,8 @@
         self.delay_us = self.resets_us = self.missed_us = -NOTE_US
         self.late_ms, self.late_us = 0.0, 0  # how much longer than usual set-ups take here
         self.limit, self.limit_us = math.inf, -LIMIT_US  # on the load known of, learned from crowding
-        self.cold_from_us, self.tokens, self.token_us = (
-            -1,
-            0.0,
-            0,
-        )  # start of its warm-up, -1: warm; its slots
+        # The start of its warm-up, -1: warm; the slots it has for this relay, and since when.
+        self.cold_from_us, self.tokens, self.token_us = -1, 0.0, 0
 
 
 class _Request:
--- a/sailrun/fleet/rounds.py
+++ b/sailrun/fleet/rounds.py
@@ -23,7 +23,7 @@
 TELL_US, COLLECT_US = 200_000, 300_000
 # Whoever saw something to look at, or heard that others do, goes on looking for so long.
 ALERT_US = 6 * SECOND
-# A warning counts if so many of those heard give it, and this share of them, the node itself among them.
+# A warning counts if so many of those heard give it.
 WARN_LEAST = 2
 
 Outgoing = tuple[int | None, bytes]
