Answer at a second address: figures, form servers out by hand, draining the node

Ruled out: late moves (none were ordered at all). control/ reads one call a connection and holds descriptors for its callers; the core counts, for both fronts, and owns hand and drain; decide.py has the hand as a named gate (what is out by hand drains, whatever the list says); one pure Leaving serves SIGTERM and drain.

--- a/sailrun/amqp/households.py
+++ b/sailrun/amqp/households.py
@@ -308,6 +308,7 @@
             server = FormServerLink(clock.now_us, self._front.terms, connection)
             server.attach(self.link, max(1, (placement.until_us - clock.now_us()) // 1000))
             self._front.group.start_soon(server.run)
+            self._node.written()
             await server.answered.wait()
             if server.ended.is_set():
                 return None, server.outcome
--- a/sailrun/config.py
+++ b/sailrun/config.py
@@ -23,7 +23,12 @@
 
 
 # What the platform's variables say, where the file does not.
-_IN_ENVIRONMENT = {"name": "RELAY_NAME", "listen": "RELAY_LISTEN", "discovery": "RELAY_DISCOVERY"}
+_IN_ENVIRONMENT = {
+    "name": "RELAY_NAME",
+    "listen": "RELAY_LISTEN",
+    "discovery": "RELAY_DISCOVERY",
+    "control": "RELAY_CONTROL",
+}
 
 
 class BadConfig(ValueError):
@@ -77,6 +82,7 @@
     groups: bool  # whether `g` of a first line names a household's group
     descriptors: int | None = None  # how many this process may hold, where the platform says so
     amqp: AmqpConfig | None = None  # off on the platform
+    control: Address | None = None  # where staff call; None: nobody does
     operator: Operator | None = None  # subsystems that the operator's own file switches on
 
 
@@ -126,11 +132,13 @@
         except ValueError as error:
             raise BadConfig(path, key, str(error)) from None
 
-    def need(key: str) -> Any:
+    def told(key: str) -> Any:
         # The file is replaced under a running node, its environment never is: the file comes first.
         value = document.get(key)
-        if value is None:
-            value = os.environ.get(_IN_ENVIRONMENT.get(key, "")) or None
+        return (os.environ.get(_IN_ENVIRONMENT.get(key, "")) or None) if value is None else value
+
+    def need(key: str) -> Any:
+        value = told(key)
         if value is None:
             raise BadConfig(path, key, "is missing")
         return value
@@ -156,9 +164,13 @@
     descriptors = limits.get("sockets") if isinstance(limits, dict) else None
     if descriptors is not None and (not isinstance(descriptors, int) or descriptors < 1):
         raise BadConfig(path, "limits.sockets", f"is {descriptors!r}, no number of descriptors")
+    listen = address("listen", need("listen"))
+    control = address("control", told("control")) if told("control") else None
+    if control == listen:
+        raise BadConfig(path, "control", "is the address where clients connect")
     return NodeConfig(
         name=str(need("name")),
-        listen=address("listen", need("listen")),
+        listen=listen,
         roster=ServerRoster(address("discovery", need("discovery"))),
         seed=seed,
         peer_listen=address("peer_listen", peer_listen) if peer_listen else None,
@@ -168,4 +180,5 @@
         settings=settings,
         groups=bool(family.get("groups", True)) if isinstance(family, dict) else True,
         descriptors=descriptors,
+        control=control,
     )
--- a/sailrun/connection.py
+++ b/sailrun/connection.py
@@ -171,10 +171,13 @@
         raise
 
 
-def listen(address: tuple[str, int]) -> socket.socket:
+def listen(address: tuple[str, int], shared: bool = False) -> socket.socket:
+    """A listener at the address; shared, other processes of this user may listen there as well."""
     sock = new_socket(address[0], socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.bind(address)
         sock.listen(4096)
     except BaseException:
--- /dev/null
+++ b/sailrun/control/calls.py
@@ -0,0 +1,80 @@
+"""The calls of the second address: what a line asks for, and how answers and figures are written. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from sailrun.node.counts import Figures
+
+LONGEST_CALL = 512
+PREFIX = "svc"
+
+
+class Verb(Enum):
+    CHECK = "check"
+    VARS = "vars"
+    SET_DOWN = "set-down"
+    SET_UP = "set-up"
+    DRAIN_ON = "drain-on"
+    DRAIN_OFF = "drain-off"
+
+
+# The calls that name a form server; the others take no argument.
+NAMING = (Verb.SET_DOWN, Verb.SET_UP)
+
+
+class BadCall(ValueError):
+    """A line that is no call; says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    verb: Verb
+    form_server: str = ""
+
+
+def parse_call(line: bytes) -> Call:
+    """Reads one line; raises BadCall for whatever is none of the calls in its right form."""
+    try:
+        words = line.decode("ascii").split()
+    except UnicodeDecodeError:
+        raise BadCall("not text") from None
+    if not words:
+        raise BadCall("an empty line")
+    try:
+        verb = Verb(words[0])
+    except ValueError:
+        raise BadCall(f"no call '{words[0][:40]}'") from None
+    wanted = 2 if verb in NAMING else 1
+    if len(words) != wanted:
+        raise BadCall(f"'{verb.value}' takes {'the id of a form server' if wanted == 2 else 'nothing more'}")
+    return Call(verb, words[1] if wanted == 2 else "")
+
+
+def ok(text: str = "") -> bytes:
+    return f"ok {text}".rstrip().encode() + b"\r\n"
+
+
+def fail(why: str) -> bytes:
+    return b"fail " + " ".join(why.split()).encode("ascii", "replace") + b"\r\n"
+
+
+def show(figures: Figures) -> bytes:
+    """The answer to `vars`: one figure a line, counts and gauges as the StatsD line protocol marks them."""
+    lines = ["ok", *_lines(figures), "eof"]
+    return "".join(f"{line}\r\n" for line in lines).encode()
+
+
+def _lines(figures: Figures) -> Iterable[str]:
+    for name, counted in figures.classes.items():
+        yield f"{PREFIX}.calls.{name}.success:{counted.success}|c"
+        yield f"{PREFIX}.calls.{name}.busy:{counted.busy}|c"
+        yield f"{PREFIX}.calls.{name}.failure:{counted.failure}|c"
+    yield f"{PREFIX}.backend_calls:{figures.backend_calls}|c"
+    yield f"{PREFIX}.reconfig_ok:{figures.reconfig_ok}|c"
+    yield f"{PREFIX}.reconfig_failed:{figures.reconfig_failed}|c"
+    yield f"{PREFIX}.inflight:{figures.inflight}|g"
+    yield f"{PREFIX}.hosts_listed:{figures.hosts_listed}|g"
+    yield f"{PREFIX}.hosts_down:{figures.hosts_down}|g"
--- /dev/null
+++ b/sailrun/control/desk.py
@@ -0,0 +1,152 @@
+"""Listens at the second address and answers one call a connection, also where nothing else gets a socket."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import socket
+from collections.abc import Callable
+from functools import partial
+from typing import TypeVar
+
+import anyio
+from anyio.abc import TaskGroup
+
+from sailrun.connection import Connection, Overlong
+from sailrun.control.calls import LONGEST_CALL, BadCall, Call, Verb, fail, ok, parse_call, show
+from sailrun.node.core import Node, Reply
+
+T = TypeVar("T")
+
+SECOND = 1_000_000
+# So many callers at once. A descriptor for each is held open from the start: a node that may open no more
+# still has them. When all are taken, the oldest caller who has said nothing yet makes room.
+CALLERS = 12
+# A caller who has not made his call by then is ended. The answer is owed within a second of the call: the
+# core is given nearly that long, and the caller's last words a little.
+CALL_BY_US, ANSWER_BY_US, LAST_WORDS_US = 6 * SECOND, 900_000, 250_000
+# How soon a place given up by its caller is looked for.
+PLACE_US = 10_000
+
+
+class Desk:
+    """The second address of one node."""
+
+    def __init__(self, node: Node, listener: socket.socket) -> None:
+        self._node, self._listener = node, listener
+        self._spare: list[int] = []  # descriptors held for callers to come
+        self._callers = 0
+        self._silent: dict[anyio.CancelScope, None] = {}  # those who have not made their call, oldest first
+        self._open = anyio.CancelScope()
+        self._hold()
+
+    def close(self) -> None:
+        """Gives the address up, before it was ever listened at or for good."""
+        self._open.cancel()
+        while self._spare:
+            os.close(self._spare.pop())
+        self._listener.close()
+
+    shut = close
+
+    async def run(self) -> None:
+        """Accepts callers until cancelled or closed."""
+        with self._open:
+            async with anyio.create_task_group() as group:
+                try:
+                    await self._keep_accepting(group)
+                finally:
+                    anyio.notify_closing(self._listener)
+                    self.close()
+
+    def _hold(self) -> None:
+        """Holds a descriptor for every place that no caller has; one not to be had is tried for again."""
+        with contextlib.suppress(OSError):
+            while self._listener.fileno() >= 0 and len(self._spare) + self._callers < CALLERS:
+                self._spare.append(os.dup(self._listener.fileno()))
+
+    async def _keep_accepting(self, group: TaskGroup) -> None:
+        while True:
+            await anyio.wait_readable(self._listener)
+            if self._spare:
+                # Nothing else runs between these two: what is closed here, the caller gets.
+                os.close(self._spare.pop())
+                try:
+                    sock = self._listener.accept()[0]
+                except OSError:  # he has gone again, or the kernel has no room at all
+                    self._hold()
+                else:
+                    self._callers += 1
+                    group.start_soon(self._serve, Connection(sock, LONGEST_CALL))
+                    continue
+            elif self._silent:
+                oldest = next(iter(self._silent))
+                del self._silent[oldest]
+                oldest.cancel()
+            await anyio.sleep_until(anyio.current_time() + PLACE_US / SECOND)
+            self._hold()
+
+    async def _serve(self, caller: Connection) -> None:
+        clock = self._node.clock
+        call_by = anyio.CancelScope(deadline=clock.moment(clock.now_us() + CALL_BY_US))
+        self._silent[call_by] = None
+        try:
+            line = None
+            with call_by, contextlib.suppress(OSError):
+                try:
+                    line = await caller.line()
+                except Overlong:
+                    line = b"\xff"  # no text, whatever it was
+            self._silent.pop(call_by, None)
+            if line is not None:
+                answer = await self._answer(line)
+                with (
+                    anyio.CancelScope(deadline=clock.moment(clock.now_us() + LAST_WORDS_US)),
+                    contextlib.suppress(OSError),  # he did not wait for it
+                ):
+                    await caller.write(answer)
+                    await caller.finish_sending()
+        finally:
+            self._silent.pop(call_by, None)
+            caller.close()
+            self._callers -= 1
+            self._hold()
+
+    async def _answer(self, line: bytes) -> bytes:
+        try:
+            call = parse_call(line)
+        except BadCall as error:
+            return fail(str(error))
+        answer = fail("busy: try again")
+        clock = self._node.clock
+        with anyio.CancelScope(deadline=clock.moment(clock.now_us() + ANSWER_BY_US)):
+            answer = await self._do(call)
+        return answer
+
+    async def _do(self, call: Call) -> bytes:
+        node = self._node
+        match call.verb:
+            case Verb.VARS:
+                return show(await _reply(node.figures))
+            case Verb.CHECK:
+                return ok() if await _reply(node.takes_households) else fail("takes no households")
+            case Verb.SET_DOWN | Verb.SET_UP:
+                out = call.verb is Verb.SET_DOWN
+                known = await _reply(partial(node.by_hand, call.form_server, out))
+                return ok() if known else fail(f"no form server '{call.form_server[:80]}'")
+            case Verb.DRAIN_ON | Verb.DRAIN_OFF:
+                await _reply(partial(node.drain, call.verb is Verb.DRAIN_ON))
+                return ok()
+
+
+async def _reply(ask: Callable[[Reply[T]], None]) -> T:
+    """What the core's one task answers, in its next turn."""
+    answered, answers = anyio.Event(), list[T]()
+
+    def reply(value: T) -> None:
+        answers.append(value)
+        answered.set()
+
+    ask(reply)
+    await answered.wait()
+    return answers[0]
--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -17,19 +17,16 @@
 from sailrun import interface as i
 from sailrun.validate import check_settings
 
-SERVER_SEED = 165233
-KEY_SEED = 845219
+SERVER_SEED, KEY_SEED = 165233, 845219
 MASK, LANE = 0xFFFFFFFF, 8
 SECOND = 1_000_000
 
-# The tokens of the instance's timers.
-PUMP, FOLLOW = 1, 2
+PUMP, FOLLOW = 1, 2  # the tokens of the instance's timers
 # Held requests are looked at again this often: well under any set-up objective, well over a tick.
 PUMP_US, PUMP_MISSES = 50_000, 4
 # Calls for the list: one of all relays in so long, fewer after failures; each in this share of its time.
 ASK_US, ASK_SHARE = 100_000, 0.75
-# Outlier ejection: the first stay away, doubled at each further failure up to the longest; with more than
-# this share of the list ejected at once, this relay's own link is the likelier cause.
+# Outlier ejection: the first stay away, the longest; with more of the list away, its own link is at fault.
 EJECT_US, EJECT_MAX_US, EJECT_SHARE = 1 * SECOND, 8 * SECOND, 0.7
 # How far down a key's order of scores to look. A heavy group spreads so that each of its backends gets
 # about so many fair loads of it. A class's mean load rests on about so many of its latest notes.
@@ -38,15 +35,13 @@
 NOTE_US, BURST_US = 2_500_000, 1 * SECOND
 # What a set-up usually takes: the lower quarter of so many latest ones, once there are a few.
 LATEST_TOOK, FEW_TOOK = 64, 8
-# Bounded loads: a backend admits up to this multiple of its fair share, some roots of it and connections.
-# While the others are heard, there are so many times the slots at a cold one.
+# Bounded loads: the multiple of the fair share, its roots, connections; more slots while others are heard.
 BOUND, BOUND_ROOT, BOUND_MORE, SLOTS_HEARD = 1.15, 1.0, 1.0, 3.0
 # A crowded backend's limit: at most one cut in so long, to this share; its growth a second.
 LIMIT_US, LIMIT_CUT, LIMIT_GROWTH = 900_000, 0.85, 0.1
 # From this multiple of the shortest aim on, this share moves a second; at a drain, all by this of the grace.
 MOVE_AT, MOVE_SHARE, MOVE_BY = 1.0, 0.2, 0.9
-# Congestion control: how often the pace falls, its fall, its least in sends a second, its growth a second,
-# the time over which the usual rate is taken, and the multiple of it at which the pace is free again.
+# The pace: how often it falls, its fall, least, growth; the usual rate's time, the multiple that frees it.
 PACE_US, PACE_CUT, PACE_MIN, PACE_GROWTH, USUAL_US, PACE_FREE = 250_000, 0.6, 1.0, 0.6, 10 * SECOND, 20.0
 # Errors mean congestion while set-ups take this share of the wanted time, or where most of them fail; so
 # many in a row, at a few backends only, are theirs; the first wait after one, doubled at each further one.
@@ -74,7 +69,7 @@
         self.open: dict[str, _Request] = {}  # connections that stand, in the order they came
         self.pending, self.load = 0, 0.0  # attempts out that do not stand yet; of these and what is open
         self.told_us, self.started_us = 0, -1  # when this instance was told that it drains or is gone
-        self.state = i.BackendState.GONE
+        self.state = self.listed = i.BackendState.GONE  # as listed it may be ready, and out by hand
         self.forget()
 
     def held(self) -> float:
@@ -117,6 +112,7 @@
         self._aim_ms = min(aims) / 1_000 if aims else 0.0
         self._servers: dict[int, _Server] = {}
         self._ready: list[_Server] = []  # listed ready, by id
+        self._hand: frozenset[int] = frozenset()  # out by hand
         self._hashes = self._lanes = 0  # their hashes in the same order, and MASK, in lanes of 64 bits
         self._requests: dict[str, _Request] = {}
         self._held: dict[str, _Request] = {}
@@ -130,7 +126,7 @@
         # Moving: the mean of what a set-up takes, and the share that succeed, failed connects left out.
         self._setup_us, self._succeeding = 0.0, 1.0
         self._sends, self._sent_us = 0.0, now_us  # sends in about the last USUAL_US
-        self._logged_us, self._unlogged = now_us - SECOND, 0
+        self._logged_us = now_us - SECOND
         self._groups: dict[int, float] = {}  # this relay's load by the key that decides
         self._class_load: dict[str, tuple[float, int]] = {}  # mean told load and notes it rests on
         self._list_failures, self._recount_us, self._alert_until_us = 0, now_us, now_us
@@ -140,6 +136,7 @@
             i.RequestArrived: self._arrived, i.ConnectionOpened: self._stands, i.AttemptEnded: self._ended,
             i.AttemptNotice: self._notice, i.ListUpdate: self._listed, i.TimerFired: self._timer,
             i.ClientLeft: self._left, i.ConnectionResumed: self._resumed, i.OthersHold: self._heard,
+            i.ByHand: self._by_hand, i.Recalled: self._recalled,
         }  # fmt: skip
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
@@ -170,8 +167,7 @@
         return place.id if moves and place is not None and place.cold_from_us < 0 else None
 
     def holding(self) -> tuple[dict[int, float], int, bool, frozenset[int], bool]:
-        """What the others are to know: loads by backend, connections, whether loads were told, which backends
-        this relay finds late, and whether there is anything to look at."""
+        """What others are to know: loads, connections, whether loads were told, who is late, any alert."""
         late = [s.id for s in self._ready if s.ejected_until > self._now or self._crowded(s, MOVE_AT)]
         loads, alert = {s.id: s.load for s in self._ready}, bool(late) or self._now < self._alert_until_us
         return loads, self._count, bool(self._class_load), frozenset(late), alert
@@ -204,6 +200,9 @@
         full = event.kind is not i.ListKind.DELTA
         for server in (s for s in self._servers.values() if full and s.id not in named):
             self._state(server, i.BackendState.GONE)
+        self._relist()
+
+    def _relist(self) -> None:
         listed = sorted(self._servers.values(), key=lambda s: s.id)
         self._ready = [s for s in listed if s.state is i.BackendState.READY]
         packed = b"".join(s.hash.to_bytes(LANE, "little") for s in self._ready)
@@ -225,7 +224,43 @@
                 self._chill(server, entry.started_us)
         self._state(server, entry.state)
 
+    def _by_hand(self, event: i.ByHand) -> None:
+        """Out by hand. Acts from staff's call until they call the backend back, which by then has restarted:
+        until the list tells of the start, it counts as cold from the call, and has its first slot at once."""
+        self._hand = self._hand | {event.backend} if event.out else self._hand - {event.backend}
+        if (server := self._servers.get(event.backend)) is not None:
+            if not event.out:
+                server.forget()
+                self._chill(server, server.started_us if server.started_us > server.told_us else self._now)
+                server.tokens = 1.0
+            self._state(server, server.listed)
+            self._relist()
+
+    def avoided(self, now_us: int) -> list[int]:
+        """The listed backends that nothing is sent to now: out by hand, or ejected."""
+        shut = (s for s in self._servers.values() if s.id in self._hand or s.ejected_until > now_us)
+        return [s.id for s in shut if s.listed is not i.BackendState.GONE]
+
+    def learned(self) -> i.Recalled:
+        """What a successor is to know, less what stands here and how the list is."""
+        backends = tuple(i.Learned(*(getattr(s, name) for name in i.LEARNED)) for s in self._servers.values())
+        pace = tuple(getattr(self, f"_{name}") for name in i.PACE)
+        return i.Recalled(backends, pace, dict(self._class_load))
+
+    def _recalled(self, event: i.Recalled) -> None:
+        for one in event.backends:
+            if (server := self._servers.get(one.id)) is not None and server.started_us == one.started_us:
+                for name in i.LEARNED:
+                    setattr(server, name, getattr(one, name))
+        for name, value in zip(i.PACE, event.pace, strict=True):
+            setattr(self, f"_{name}", value)
+        self._class_load = dict(event.class_load)
+        self._recount()
+
     def _state(self, server: _Server, state: i.BackendState) -> None:
+        server.listed = state
+        if state is i.BackendState.READY and server.id in self._hand:
+            state = i.BackendState.DRAINING
         if server.state is i.BackendState.READY and state is not i.BackendState.READY:
             server.told_us = self._now
             # Its households move before it leaves, spread over the grace: at once they would crowd the rest.
@@ -277,8 +312,7 @@
             request.load = self._class_load.get(request.cls.name, (self._unit(), 0))[0]
 
     def _left(self, event: i.ClientLeft) -> None:
-        request = self._requests.get(event.request)
-        if request is not None:
+        if (request := self._requests.get(event.request)) is not None:
             self._held.pop(request.id, None)
             if request.at is None:
                 del self._requests[request.id]
@@ -319,8 +353,7 @@
             server.tokens -= 1.0
         until_us = request.deadline_us
         if request.attempts < self._set.max_attempts:
-            # A silent backend must leave time for another attempt; where set-ups are slow everywhere, as
-            # before a shared store that is overloaded, patience grows with what they take.
+            # A silent backend must leave time for another attempt; patience grows with what set-ups take.
             patience_us = max(request.cls.objective_us, int(PATIENCE * self._setup_us))
             until_us = min(until_us, self._now + patience_us)
         self._out.append(i.Send(request.id, server.id, until_us))
@@ -343,8 +376,7 @@
                     return server
                 if server.cold_from_us < 0:
                     spare = spare or server
-        # All are over their bound: the best score whose messages still keep the objective. With nothing
-        # healthy in reach, as when this relay's own link is cut, the best ejected one is tried after all.
+        # All over their bound: the best not crowded. None healthy in reach: the best ejected one, after all.
         return spare or (last if self._capacity <= 0 else None)
 
     def _ranked(self, k: int) -> Iterator[_Server]:
@@ -365,13 +397,9 @@
         if request.client and self._load > 0 and not self._others:
             fair = SPREAD * self._load / max(1, len(self._ready))
             spread = 1 + int(max(0.0, self._groups.get(request.hash, 0.0) - self._unit() / 2) / fair)
-        first: list[_Server] = []
-        for server in islice(self._ranked(request.hash), DEPTH):
-            first.append(server)
-            if len(first) >= spread:
-                yield from sorted(first, key=lambda s: (-((s.hash * request.client) & MASK), s.id))
-                first, spread = [], 1
-        yield from sorted(first, key=lambda s: (-((s.hash * request.client) & MASK), s.id))
+        ranked = islice(self._ranked(request.hash), DEPTH)
+        yield from sorted(islice(ranked, spread), key=lambda s: (-((s.hash * request.client) & MASK), s.id))
+        yield from ranked
 
     def _last_look_us(self, request: _Request) -> int:
         """When a held request is looked at for the last time: later, an answer would come too late."""
@@ -408,11 +436,8 @@
     def _holder(self, request: _Request) -> _Server | None:
         """Mid-flow: the top score over ready backends and those draining within the grace."""
         grace_us = self._set.drain_grace_us - self._set.tick_us
-        pool = [
-            s for s in self._servers.values()
-            if s.state is i.BackendState.READY
-            or (s.state is i.BackendState.DRAINING and self._now - s.told_us < grace_us)
-        ]  # fmt: skip
+        drains = (s for s in self._servers.values() if s.state is i.BackendState.DRAINING)
+        pool = [*self._ready, *(s for s in drains if self._now - s.told_us < grace_us)]
         return max(pool, key=lambda s: ((s.hash * request.hash) & MASK, -s.id), default=None)
 
     def _repeatable(self, request: _Request) -> bool:
@@ -460,8 +485,7 @@
         return server.held() + load / 2 <= max(server.limit * grown, self._fair(server) / 4)
 
     def _lower(self, server: _Server) -> None:
-        """A crowded backend's limit falls under this relay's present load there, and grows again with
-        time: without it the same groups would flood back the moment it is no longer crowded."""
+        """A crowded backend's limit: without it the same groups flood back once it is no longer crowded."""
         if self._now - server.limit_us >= LIMIT_US:
             server.limit = LIMIT_CUT * min(server.limit, server.held())
             server.limit_us = self._now
@@ -491,9 +515,8 @@
         self._capacity = sum(s.capacity * self._share(s) for s in self._ready if s.ejected_until <= self._now)
 
     def _paced(self, request: _Request) -> bool:
-        """Congestion control of set-ups. Acts after backends answer set-ups with errors, as when a store
-        that they share is overloaded: sends are then spaced at a rate that falls with errors and grows
-        with time; a request that met an error waits before it is sent again."""
+        """Congestion control. Acts after backends answer set-ups with errors, as before a shared store that
+        is overloaded: sends are spaced at a rate, and what met an error waits before it is sent again."""
         if request.not_before_us > self._now:
             return False
         if self._pace <= 0:
@@ -512,8 +535,7 @@
         if self._now - self._slowed_us < PACE_US:
             return
         if self._pace <= 0:
-            sends = self._sends * math.exp((self._sent_us - self._now) / USUAL_US)
-            self._pace = sends * SECOND / USUAL_US
+            self._pace = self._sends * math.exp((self._sent_us - self._now) / USUAL_US) * SECOND / USUAL_US
             self._pace_free = PACE_FREE * max(self._pace, PACE_MIN)
             self._pace_tokens = 0.0
         self._pace = max(PACE_MIN, PACE_CUT * self._pace)
@@ -529,9 +551,8 @@
 
     def _warm_enough(self, server: _Server) -> bool:
         """Slow start. Acts during the warm-up. This relay's load there stays under the fair load times the
-        share of its capacity that the backend is sure to have. Sends are slots: in two windows as many come
-        free as make up that load. A slot unused for (multiple - 1) windows lapses, so that relays that saved
-        theirs up cannot spend more at once than the multiple; standing load takes the rest."""
+        share of its capacity that the backend is sure to have. Sends are slots, in two windows as many as
+        make up that load; unused for (multiple - 1) windows they lapse, or relays would save them up."""
         if self._share(server) >= 1.0:
             server.cold_from_us = -1
             return True
@@ -545,8 +566,7 @@
         return server.tokens >= 1.0 and server.held() <= allowed
 
     def _slots(self, server: _Server, allowed: float) -> float:
-        """Sends a microsecond that this relay may make to a cold backend, of all relays' slots. Most lapse
-        where few come to each, so there are more while the sum of all is heard and shuts the gate."""
+        """Sends a microsecond of this relay to a cold backend: more while the sum of all relays' is heard."""
         part = (SLOTS_HEARD if self._relays > 1 else 1.0) / self._relays
         return part * allowed / max(self._unit(), 1e-9) / (2 * self._set.fall_us)
 
@@ -572,8 +592,7 @@
 
     def _timed(self, server: _Server, took_us: int) -> None:
         """Set-ups queue behind the same work as messages: what one takes beyond the usual, a message waits
-        there too. On sockets no delay note tells of it, and what was moved off only comes to better where
-        another backend is not crowded."""
+        there too. What is moved off only comes to better where another backend is not crowded."""
         self._took.append(took_us)
         usual_us = sorted(self._took)[len(self._took) // 4]
         late_ms = max(0, took_us - usual_us) / 1000
@@ -627,11 +646,9 @@
         """The one final answer: a refusal only where trying again is known to be harmless."""
         self._held.pop(request.id, None)
         del self._requests[request.id]
-        self._out.append(i.Fail(request.id) if request.ran_at else i.Refuse(request.id, self._retry_after()))
-
-    def _retry_after(self) -> int:
-        longest_us = self._set.max_retry_after_us * (0.25 + 0.75 * self._random.random())
-        return int(longest_us) if self._set.retry_after else 0
+        longest_us = self._set.max_retry_after_us if self._set.retry_after else 0
+        back_us = int(longest_us * (0.25 + 0.75 * self._random.random()))
+        self._out.append(i.Fail(request.id) if request.ran_at else i.Refuse(request.id, back_us))
 
     # ------------------------------------------------------------------ health
 
@@ -650,8 +667,7 @@
         elif outcome is i.Outcome.ERROR:
             server.errors += 1
             erring = sum(1 for s in self._ready if s.errors)
-            if server.errors >= ERRORS and 2 * erring <= len(self._ready):
-                # only here, not at a store that all share: one that fails fast would draw ever more
+            if server.errors >= ERRORS and 2 * erring <= len(self._ready):  # no fault of a store all share
                 self._eject(server, "answers with errors")
         elif outcome is i.Outcome.REJECTED:
             self._strain(server)
@@ -659,25 +675,21 @@
             if self._now - server.resets_us > BURST_US:
                 server.resets = 0
             server.resets, server.resets_us = server.resets + 1, self._now
-            if not server.open and server.resets >= 2:
-                # every connection of this relay broke at once: the process is gone, whatever the list says
+            if not server.open and server.resets >= 2:  # all at once: the process is gone, listed or not
                 self._eject(server, "broke all its connections")
                 server.limit, server.delay_ms = math.inf, 0.0  # and what crowded it with it
-            elif server.resets >= 2 or self._crowded(server, 0.0):
-                # One that breaks alone, where messages take no long time, is no sign of a crowd.
+            elif server.resets >= 2 or self._crowded(server, 0.0):  # one alone is no sign of a crowd
                 self._strain(server)
 
     def _strain(self, server: _Server) -> None:
-        """A backend that drops connections or set-ups is crowded, though no delay note may ever say so:
-        what it drops leaves it looking empty, and the same keys would come straight back."""
+        """A backend that drops connections or set-ups is crowded, though no delay note may ever say so."""
         server.delay_ms, server.delay_us = max(server.delay_ms, self._aim_ms, 1.0), self._now
         self._lower(server)
 
     def _eject(self, server: _Server, why: str) -> None:
         if server.ejected_until > self._now or server.state is not i.BackendState.READY:
             return
-        away = sum(1 for s in self._ready if s.ejected_until > self._now)
-        if away >= EJECT_SHARE * len(self._ready):
+        if sum(s.ejected_until > self._now for s in self._ready) >= EJECT_SHARE * len(self._ready):
             return
         stay = min(EJECT_MAX_US, EJECT_US << min(server.ejections, 10))
         server.ejected_until = self._now + int(stay * (0.75 + 0.5 * self._random.random()))
@@ -687,13 +699,10 @@
         self._recount()
 
     def _report(self, what: str) -> None:
-        """One log line a second at most; the next one tells how many were left out."""
-        if self._now - self._logged_us < SECOND:
-            self._unlogged += 1
-            return
-        more = f" ({self._unlogged} more reasons since the last line)" if self._unlogged else ""
-        self._out.append(i.Log(what + more))
-        self._logged_us, self._unlogged = self._now, 0
+        """One log line a second at most: a fault of many backends has one reason."""
+        if self._now - self._logged_us >= SECOND:
+            self._out.append(i.Log(what))
+            self._logged_us = self._now
 
     def _recovered(self, server: _Server) -> None:
         server.strikes = server.errors = 0
@@ -702,8 +711,7 @@
             server.trial = False
             server.ejections = server.ejected_until = 0
             self._recount()
-            if not server.open or len(server.open) == 1:
-                # it may have restarted before the list tells: treated as cold from now
+            if len(server.open) <= 1:  # it may have restarted before the list tells: treated as cold from now
                 self._chill(server, self._now)
 
     def _notice(self, event: i.AttemptNotice) -> None:
@@ -740,11 +748,9 @@
         self._load *= load
 
     def _relieve(self, server: _Server, room: bool = False) -> None:
-        """Moves connections off a backend whose messages miss the objective. Every relay hears of the
-        delay and moves the same share of its own, or what is over its fair load there if there is room
-        elsewhere: first those that score higher elsewhere by now, the heaviest of them first, so that few
-        are moved for the same relief.
-        In a full fleet those moved are refused until there is room, so that the rest are served."""
+        """Moves connections off a backend whose messages miss the objective: every relay the same share of
+        its own, or what is over its fair load there if there is room elsewhere; first those that score higher
+        elsewhere by now, the heaviest of them first. In a full fleet they are refused until there is room."""
         if not self._crowded(server, MOVE_AT):
             return
         over = (1.0 - self._fair(server) / max(server.held(), 1e-9)) / (2 if self._relays > 1 else 1)
@@ -769,8 +775,7 @@
             self._out.append(i.SetTimer(PUMP_US, PUMP))
 
     def _timer(self, event: i.TimerFired) -> None:
-        token = event.token
-        if token == PUMP and self._pump_set:
+        if (token := event.token) == PUMP and self._pump_set:
             self._pump_set = False
             self._pump()
         elif (leaving := self._requests.get(self._moves.pop(token, ""))) is not None and leaving.opened:
--- a/sailrun/interface.py
+++ b/sailrun/interface.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from enum import Enum
 
 # --------------------------------------------------------------------------- vocabulary
@@ -235,6 +235,59 @@
     until_us: int  # nothing is known of the others from then on
 
 
+@dataclass(frozen=True, slots=True)
+class ByHand:
+    """Staff took a backend out, or called it back after it was restarted."""
+
+    backend: int
+    out: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Learned:
+    """What an instance has seen of one backend, in the words of `sailrun.decide`."""
+
+    id: int
+    started_us: int  # of which process of it
+    told_us: int
+    ejected_until: int
+    ejections: int
+    strikes: int
+    errors: int
+    trial: bool
+    delay_ms: float
+    delay_us: int
+    limit: float
+    limit_us: int
+    cold_from_us: int
+    tokens: float
+    token_us: int
+
+
+LEARNED = tuple(f.name for f in fields(Learned))
+# What it knows of set-ups in general: the pace they are held to, what they take, how many succeed.
+PACE = (
+    "pace",
+    "pace_tokens",
+    "pace_free",
+    "pace_us",
+    "slowed_us",
+    "setup_us",
+    "succeeding",
+    "sends",
+    "sent_us",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Recalled:
+    """What a predecessor on the same machine had learned; its times are of the same clock."""
+
+    backends: tuple[Learned, ...]
+    pace: tuple[float, ...]  # in the order of PACE
+    class_load: dict[str, tuple[float, int]]  # mean load told, and notes it rests on
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     token: int
@@ -251,6 +304,8 @@
     | ProbeEnded
     | PeerMessage
     | OthersHold
+    | ByHand
+    | Recalled
     | TimerFired
 )
 
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -7,12 +7,11 @@
 from __future__ import annotations
 
 import heapq
-import math
 import traceback
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol, TypeVar
 
 import anyio
 
@@ -21,22 +20,22 @@
 from sailrun.fleet.digest import VERSION
 from sailrun.fleet.rounds import Holding, Others, Rounds
 from sailrun.node.clock import Clock, log
+from sailrun.node.counts import Counts, Figures
+from sailrun.node.leaving import Leaving, Reason
 from sailrun.node.session import FormServer, FormSession, Placement, RosterNews, server_number
 from sailrun.node.watch import ServerWatch
 
 if TYPE_CHECKING:
     from sailrun.rebalance.balance import Rebalancer
 
+T = TypeVar("T")
+
 SECOND = 1_000_000
 FLEET = bytes((VERSION,))
 SWEEP_US = 100_000
 PULSE_US = 10 * SECOND
-# A planned restart: the platform kills no earlier than the longest deadline, taken as 3 s at most, plus
-# 0.7 s after it has asked. New households come for up to 0.4 s more.
-LONGEST_US, STOP_ACCEPTING_US = 3 * SECOND, 1 * SECOND
-# The shares of that time in which the moves begin and end. Whoever is moved while newcomers still come here
-# comes straight back, and has to be moved once more: so none before that is over.
-MOVES_BEGIN, MOVES_END = 0.15, 0.7
+
+Reply = Callable[[T], None]  # takes the answer to a question put to the core
 
 
 class Roster(Protocol):
@@ -79,7 +78,10 @@
         self.neighbours: Neighbours | None = None
         self.prober: Prober | None = None
         self.rebalancer: Rebalancer | None = None  # off on the platform
-        self.leaving = False  # asked to stop: everybody is being sent away
+        self.counts = Counts(c.name for c in settings.classes)
+        # Everybody is being sent away: to stop, for a drain, or to a successor.
+        self.leaving = Leaving(max(c.deadline_us for c in settings.classes))
+        self._out_by_hand: set[str] = set()  # form servers that staff took out, by name
         self._now = clock.now_us()
         self._module = Balancer(settings, seed, self._now)
         # What the tier holds together, where its nodes may talk.
@@ -100,7 +102,6 @@
         # From what on form servers say what a message takes, in ms; 0: they never do.
         self.told_from_ms = self._slow_us / 1000 if settings.tells_delay else 0.0
         self._known = known
-        self._asked_to_leave_us = self._stop_us = self._moves_from_us = self._moves_until_us = 0
         self.stopped = False
 
     # ------------------------------------------------------------------ what others tell
@@ -117,6 +118,10 @@
     def placed(self, session: FormSession, placement: Placement, took_us: int) -> None:
         self._post(self._placed, session, placement, took_us)
 
+    def written(self) -> None:
+        """An attempt's request has gone out to its form server, to the last byte."""
+        self._post(self._written)
+
     def attempt_over(self, session: FormSession, placement: Placement, outcome: i.Outcome) -> None:
         self._post(self._attempt_over, session, placement, outcome)
 
@@ -173,7 +178,33 @@
 
     def leave(self) -> None:
         """A planned restart begins: keep answering, spread the moves, be gone before the kill."""
-        self._post(self._leave)
+        self._post(self._leave, Reason.RESTART)
+
+    # What staff ask, each answered by a call of `reply` in the core's next turn.
+
+    def figures(self, reply: Reply[Figures]) -> None:
+        self._post(lambda: reply(self._figures()))
+
+    def takes_households(self, reply: Reply[bool]) -> None:
+        """Whether this node takes households, and not only answers them."""
+        self._post(lambda: reply(not self.leaving and bool(self._form_servers)))
+
+    def by_hand(self, name: str, out: bool, reply: Reply[bool]) -> None:
+        """Takes a form server out, or puts it back; False where none of that name is listed or out."""
+        self._post(lambda: reply(self._by_hand(name, out)))
+
+    @property
+    def admits(self) -> bool:
+        """Whether whoever spreads the households over the nodes should count on this one."""
+        return Reason.DRAIN not in self.leaving
+
+    def drain(self, on: bool, reply: Reply[bool]) -> None:
+        """Sends all households away, and takes none until it is over."""
+        self._post(lambda: reply(self._drain(on)))
+
+    def reloaded(self, taken: bool) -> None:
+        """A new configuration was taken over, or was not usable."""
+        self._post(self._reloaded, taken)
 
     # ------------------------------------------------------------------ the task
 
@@ -226,7 +257,7 @@
             session = self._sessions.get(getattr(event, "request", ""))
             if session is not None and not session.stands:
                 self._end(session)
-                session.household.fail()
+                self._fail(session)
             return
         for action in actions:
             try:
@@ -241,11 +272,11 @@
                 self._send_to(action)
             case i.Refuse():
                 if (session := self._answerable(action.request)) is not None:
-                    session.household.refuse(action.retry_after_us)
+                    self._refuse(session, action.retry_after_us)
                     self._aside(lambda rebalancer: rebalancer.refused(self._now))
             case i.Fail():
                 if (session := self._answerable(action.request)) is not None:
-                    session.household.fail()
+                    self._fail(session)
             case i.MoveConnection():
                 self._move(action.request)
             case i.CancelAttempt():
@@ -307,6 +338,14 @@
         session.over = True
         self._sessions.pop(session.id, None)
 
+    def _refuse(self, session: FormSession, retry_after_us: int) -> None:
+        self.counts.classes[session.request_class].busy += 1
+        session.household.refuse(retry_after_us)
+
+    def _fail(self, session: FormSession) -> None:
+        self.counts.classes[session.request_class].failure += 1
+        session.household.fail()
+
     # ------------------------------------------------------------------ what has happened
 
     def _asked(self, session: FormSession) -> None:
@@ -319,7 +358,7 @@
                 self._order(session, named, session.deadline_us)
             else:
                 self._end(session)
-                session.household.fail()
+                self._fail(session)
             return
         self._feed(
             i.RequestArrived(
@@ -338,6 +377,7 @@
     def _placed(self, session: FormSession, placement: Placement, took_us: int) -> None:
         number = placement.form_server.number
         session.stands = session.over = True
+        self.counts.classes[session.request_class].success += 1
         watch = self._watches.setdefault(number, ServerWatch())
         watch.sessions[session.id] = session
         if session.unanswered:
@@ -360,6 +400,9 @@
         returned, took = session.returning and not resumed, None if resumed else took_us
         self._aside(lambda rebalancer: self._stands_for(rebalancer, session, number, returned, took))
 
+    def _written(self) -> None:
+        self.counts.backend_calls += 1
+
     def _attempt_over(self, session: FormSession, placement: Placement, outcome: i.Outcome) -> None:
         if session.placement is not placement:
             return  # already taken for over, as where its form server fell silent
@@ -375,11 +418,13 @@
         if outcome not in (i.Outcome.REJECTED, i.Outcome.CONNECT_FAILED, i.Outcome.NOT_SENT):
             session.may_have_run = True
         over = session.over or outcome is i.Outcome.OK
+        if outcome is i.Outcome.OK and not session.over:  # served to its end in one answer
+            self.counts.classes[session.request_class].success += 1
         if over:
             self._end(session)
         elif session.resumed_at is not None:
             self._end(session)
-            session.household.fail()
+            self._fail(session)
             return
         if session.resumed_at is None or stood:
             self._feed(i.AttemptEnded(session.id, placement.attempt, number, outcome, over))
@@ -424,9 +469,15 @@
         for form_server in news.form_servers:
             self._form_servers[form_server.number] = form_server
         entries = tuple(s.as_backend() for s in news.form_servers)
-        self._aside(lambda rebalancer: rebalancer.listed(self._now, news.kind, entries))
+        takes = tuple(self._as_it_takes(s) for s in news.form_servers)
+        self._aside(lambda rebalancer: rebalancer.listed(self._now, news.kind, takes))
         self._feed(i.ListUpdate(news.kind, news.revision, entries))
 
+    def _as_it_takes(self, form_server: FormServer) -> i.Backend:
+        """The entry for whoever only looks on: one that is out by hand takes no more than one that drains."""
+        out = form_server.name in self._out_by_hand and form_server.state is i.BackendState.READY
+        return replace(form_server, state=i.BackendState.DRAINING if out else form_server.state).as_backend()
+
     def _roster_failed(self, why: str) -> None:
         self._log("roster-failed", why=why)
         self._aside(lambda rebalancer: rebalancer.roster_lost(self._now))
@@ -479,7 +530,7 @@
         if self._now >= self._pulse_us:
             self._pulse_us = self._now + PULSE_US
             self._pulse()
-        if self._stop_us:
+        if self.leaving:
             self._send_away()
 
     def _log_slow(self, number: int, slow: bool, value_ms: float) -> None:
@@ -491,7 +542,7 @@
         self._aside(lambda one: self._tell_what_stands(one, old))
 
     def _tell_what_stands(self, rebalancer: Rebalancer, old: Rebalancer | None) -> None:
-        entries = tuple(server.as_backend() for server in self._form_servers.values())
+        entries = tuple(map(self._as_it_takes, self._form_servers.values()))
         rebalancer.listed(self._now, i.ListKind.FULL, entries)
         for number, watch in self._watches.items():
             for session in watch.sessions.values():
@@ -554,37 +605,65 @@
         known = self._form_servers.get(number)
         return known.name if known is not None else str(number)
 
-    def _leave(self) -> None:
-        if self._stop_us:
-            return
-        longest_us = min(LONGEST_US, max(c.deadline_us for c in self.settings.classes))
-        self.leaving = True
-        self._aside(lambda rebalancer: rebalancer.leave())
-        self._asked_to_leave_us = self._now
-        self._stop_us = self._now + longest_us
-        self._moves_from_us = self._now + int(MOVES_BEGIN * longest_us)
-        self._moves_until_us = self._now + int(MOVES_END * longest_us)
-        self._log("leaving", sessions=len(self._standing()), within_ms=longest_us // 1000)
+    # ------------------------------------------------------------------ staff's calls, and leaving
+
+    def _figures(self) -> Figures:
+        listed = [n for n, s in self._form_servers.items() if s.state is not i.BackendState.GONE]
+        return self.counts.figures(len(self._sessions), len(listed), len(self._module.avoided(self._now)))
+
+    def _reloaded(self, taken: bool) -> None:
+        if taken:
+            self.counts.reconfig_ok += 1
+        else:
+            self.counts.reconfig_failed += 1
+
+    def _by_hand(self, name: str, out: bool) -> bool:
+        known = self._form_servers.get(server_number(name))
+        if known is None or known.name != name:
+            return name in self._out_by_hand and self._hand(name, out)
+        return self._hand(name, out)
+
+    def _hand(self, name: str, out: bool) -> bool:
+        if out is not (name in self._out_by_hand):
+            (self._out_by_hand.add if out else self._out_by_hand.discard)(name)
+            self._log("by-hand", server=name, out=out)
+            self._feed(i.ByHand(server_number(name), out))
+            if (known := self._form_servers.get(server_number(name))) is not None:
+                entries = (self._as_it_takes(known),)
+                self._aside(lambda rebalancer: rebalancer.listed(self._now, i.ListKind.DELTA, entries))
+        return True
+
+    def _drain(self, on: bool) -> bool:
+        if on:
+            self._leave(Reason.DRAIN)
+        elif self.leaving.withdraw(Reason.DRAIN):
+            self._log("drain-over", sessions=len(self._standing()))
+            if not self.leaving:
+                self._aside(lambda rebalancer: rebalancer.leave(False))
+        return True
+
+    def _leave(self, reason: Reason) -> None:
+        if self.leaving.begin(reason, self._now):
+            self._aside(lambda rebalancer: rebalancer.leave())
+            self._log("leaving", reason=reason.value, sessions=len(self._standing()))
 
     def _standing(self) -> list[FormSession]:
         return [s for w in self._watches.values() for s in w.sessions.values() if not s.moving]
 
     def _send_away(self) -> None:
         """The moves are spread, so that the households do not all knock at the neighbours at once."""
-        standing = self._standing() if self._now >= self._moves_from_us else []
-        sweeps = max(1, (self._moves_until_us - self._now) // SWEEP_US)
-        for session in standing[: math.ceil(len(standing) / sweeps)]:
+        standing = self._standing()
+        for session in standing[: self.leaving.to_move(self._now, len(standing), SWEEP_US)]:
             session.moving = True
             session.household.move()
         waiting = [s for s in self._sessions.values() if not s.over]
-        if self._now >= self._stop_us:
+        if self.leaving.gives_up(self._now):
             for session in waiting:
                 self._end(session)
+                self._feed(i.ClientLeft(session.id))
                 if session.may_have_run or session.placement is not None:
-                    session.household.fail()
+                    self._fail(session)
                 else:
-                    session.household.refuse(0)
-        accepting_over = self._now >= self._asked_to_leave_us + STOP_ACCEPTING_US
-        moved = all(not w.sessions for w in self._watches.values())
-        if (accepting_over and moved and not waiting) or self._now >= self._stop_us + SECOND // 5:
-            self.stopped = True
+                    self._refuse(session, 0)
+        held = sum(len(w.sessions) for w in self._watches.values())
+        self.stopped = self.leaving.over(self._now, held, len(waiting))
--- a/sailrun/platform/households.py
+++ b/sailrun/platform/households.py
@@ -199,7 +199,7 @@
                     line = await self._household.line()
                     if line is None or line.strip() != b"PING":
                         return line
-                    await self._household.write(b"PONG\r\n")
+                    await self._household.write(b"PONG\r\n" if self._node.admits else b"NO\r\n")
                     self._reason = "ping"
                 await self._turn_away("too-many-checks")
             if scope.cancelled_caught and self._node.clock.now_us() < deadline_us:
@@ -328,6 +328,7 @@
             wait_ms = max(1, (placement.until_us - self._node.clock.now_us()) // 1000)
             await server.write(self._opening.for_form_server(wait_ms))
             sent = True
+            self._node.written()
             line = await server.line()
             if line is None:
                 server.close()
--- a/sailrun/rebalance/balance.py
+++ b/sailrun/rebalance/balance.py
@@ -226,9 +226,9 @@
                 if household in self._named:
                     self._followed[household] = now_us + FOLLOW_US
 
-    def leave(self) -> None:
-        """This node restarts: its households are sent away by another rule from now on."""
-        self._leaving = True
+    def leave(self, on: bool = True) -> None:
+        """This node sends its households away by another rule from now on; or does no more."""
+        self._leaving = on
 
     def _trouble(self, now_us: int, why: str) -> None:
         if self._pace.close(now_us) and self._active:
--- a/sailrun/serve.py
+++ b/sailrun/serve.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import Callable
-from dataclasses import fields, replace
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable
+from dataclasses import fields
+from typing import TYPE_CHECKING, Protocol
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
 
 from sailrun.config import BadConfig, EnvoyFiles, EnvoyRest, NodeConfig, ServerRoster
 from sailrun.connection import listen, show_address
-from sailrun.front import FrontDoor, descriptors_allowed
+from sailrun.front import descriptors_allowed
 from sailrun.node.clock import Clock, log
 from sailrun.node.core import Node
 from sailrun.platform.households import Households
@@ -24,10 +24,19 @@
 
 # What a new file changes in a running node; the rest waits for its next start, but for what every
 # reading draws or finds anew.
-_TAKEN_OVER = ("listen", "amqp", "roster", "operator")
+_DOORS = ("listen", "amqp", "control")
+_TAKEN_OVER = (*_DOORS, "roster", "operator")
 _ANEW = ("seed", "known")
 
 
+class Door(Protocol):
+    """An address that is listened on, and whoever came to it."""
+
+    def close(self) -> None: ...
+    def shut(self) -> None: ...
+    async def run(self) -> None: ...
+
+
 class Service:
     """A running node and the configuration in force."""
 
@@ -41,7 +50,7 @@
         self._households = Households(self.node, config.groups, descriptors)
         self._descriptors = descriptors
         # Before any task: an address that is not to be had is the caller's fault, and ends in one line.
-        self._door, self._amqp_door = self._doors(config)
+        self._open_doors = self._doors(config, _DOORS)
         self._roster, self._asking = self._roster_for(config), anyio.CancelScope()
         self.node.roster = self._roster
         self._switch(config)
@@ -61,24 +70,37 @@
         terms, now_us = config.operator.rebalance, self.node.clock.now_us()
         self.node.rebalance_with(Rebalancer(terms, config.settings, now_us))
 
-    def _doors(self, config: NodeConfig) -> tuple[FrontDoor | None, FrontDoor | None]:
-        """The front doors of a configuration, listening but not open yet."""
-        door = amqp_door = None
-        if config.listen is not None:
-            door = self._households.door(listen(config.listen))
-        if config.amqp is not None:
+    def _doors(self, config: NodeConfig, keys: Iterable[str]) -> dict[str, Door]:
+        """The doors that a configuration names under these keys, listening but not open yet: all or none."""
+        doors: dict[str, Door] = {}
+        try:
+            for key in keys:
+                door = self._door(config, key)
+                if door is not None:
+                    doors[key] = door
+        except BaseException:
+            for door in doors.values():
+                door.close()
+            raise
+        return doors
+
+    def _door(self, config: NodeConfig, key: str) -> Door | None:
+        # A successor that cannot be handed the listeners may listen beside this process.
+        shared = config.control is not None
+        if key == "listen" and config.listen is not None:
+            return self._households.door(listen(config.listen, shared))
+        if key == "amqp" and config.amqp is not None:
             # Loaded only where it is switched on: the platform's nodes carry neither engine nor codec.
             from sailrun.amqp.engine import AmqpTerms
-            from sailrun.amqp.households import amqp_door as open_amqp
+            from sailrun.amqp.households import amqp_door
 
             terms = AmqpTerms(config.name, config.amqp.max_frame_size, config.amqp.idle_time_out_ms)
-            try:
-                amqp_door = open_amqp(self.node, listen(config.amqp.listen), terms, self._descriptors)
-            except BaseException:
-                if door is not None:
-                    door.close()
-                raise
-        return door, amqp_door
+            return amqp_door(self.node, listen(config.amqp.listen, shared), terms, self._descriptors)
+        if key == "control" and config.control is not None:
+            from sailrun.control.desk import Desk
+
+            return Desk(self.node, listen(config.control))
+        return None
 
     def _roster_for(self, config: NodeConfig) -> RosterClient | EnvoyRoster:
         match config.roster:
@@ -96,9 +118,8 @@
     def open(self, group: TaskGroup) -> None:
         self.group = group
         group.start_soon(self._ask_roster)
-        for door in (self._door, self._amqp_door):
-            if door is not None:
-                group.start_soon(door.run)
+        for door in self._open_doors.values():
+            group.start_soon(door.run)
         if self._config.settings.probes:
             self.node.prober = Probes(self.node, group)
         if self._datagrams is not None:
@@ -125,6 +146,7 @@
         except Exception as error:  # whatever is wrong with a file, the node goes on without it
             why = str(error) if isinstance(error, BadConfig | OSError) else repr(error)
             log("reload-refused", why=why)
+            self.node.reloaded(False)
             return
         log(
             "reloaded",
@@ -132,21 +154,15 @@
             at_next_start=",".join(n for n in changed if n not in _TAKEN_OVER) or None,
         )
         self._config = config
+        self.node.reloaded(True)
 
     def _take_over(self, config: NodeConfig, changed: list[str]) -> None:
         # First what can fail; from then on the new file is in force. The addresses that stay are not
         # listened on twice.
-        new_door, new_amqp_door = self._doors(
-            replace(
-                config,
-                listen=config.listen if "listen" in changed else None,
-                amqp=config.amqp if "amqp" in changed else None,
-            )
-        )
-        if "listen" in changed:
-            self._door = self._exchange(self._door, new_door)
-        if "amqp" in changed:
-            self._amqp_door = self._exchange(self._amqp_door, new_amqp_door)
+        doors = self._doors(config, [key for key in _DOORS if key in changed])
+        for key in _DOORS:
+            if key in changed:
+                self._exchange(key, doors.get(key))
         if "operator" in changed:
             self._switch(config)
         if "roster" in changed:
@@ -158,12 +174,13 @@
             self._roster.watch(True)
             self.group.start_soon(self._ask_roster)
 
-    def _exchange(self, old: FrontDoor | None, new: FrontDoor | None) -> FrontDoor | None:
+    def _exchange(self, key: str, new: Door | None) -> None:
+        old = self._open_doors.pop(key, None)
         if new is not None:
+            self._open_doors[key] = new
             self.group.start_soon(new.run)
         if old is not None:
             old.shut()
-        return new
 
     async def heed_signals(self, *, task_status: TaskStatus[None]) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -186,6 +203,7 @@
             name=config.name,
             listen=show_address(config.listen) if config.listen else None,
             amqp=show_address(config.amqp.listen) if config.amqp else None,
+            control=show_address(config.control) if config.control else None,
         )
         await service.node.run()
         group.cancel_scope.cancel()
--- a/sailrun/sidecar.py
+++ b/sailrun/sidecar.py
@@ -26,9 +26,10 @@
 
 # The keys of the file, by table; each with the types that it takes. `settings` has the platform's names.
 KEYS: dict[str, dict[str, type]] = {
-    "": {"name": str, "settings": dict, "amqp": dict, "households": dict, "roster": dict},
+    "": {"name": str, "settings": dict, "amqp": dict, "households": dict, "roster": dict, "control": dict},
     "amqp": {"listen": str, "max_frame_size": int, "idle_time_out_ms": int},
     "households": {"listen": str},
+    "control": {"listen": str},
     "roster": {"source": str, "address": str, "cluster": str, "clusters": str, "endpoints": str},
 }
 SOURCES = {
@@ -87,7 +88,7 @@
     except tomllib.TOMLDecodeError as error:
         raise BadConfig(path, "", f"no TOML: {error}") from None
     top = _Table(path, "", document)
-    households, amqp = top.table("households"), top.table("amqp")
+    households, amqp, control = top.table("households"), top.table("amqp"), top.table("control")
     if households is None and amqp is None:
         raise BadConfig(path, "amqp", "is missing, and so is households: nothing would listen")
     fields = dict(flatten(top.need("settings")))
@@ -100,8 +101,13 @@
     except ValueError as error:
         raise BadConfig(path, "settings", str(error)) from None
     groups = fields.get("familyInfo.groups", "true") != "false"
+    at = control.address("listen") if control is not None else None
+    for other in (households, amqp):
+        if at is not None and other is not None and other.address("listen") == at:
+            raise BadConfig(path, "control.listen", "is an address where clients connect")
     return NodeConfig(
         name=top.need("name"),
+        control=at,
         listen=households.address("listen") if households is not None else None,
         roster=_roster(path, top),
         seed=secrets.randbits(63),
