Replace the process: hand the listeners and what makes two processes one node to the successor

Ruled out by design: two listeners with the old queue emptied, which still resets what comes between the last accept and the close. succession/ hands the listening and datagram sockets over a Unix socket in $TMPDIR with one checked line of state; the predecessor then takes no newcomers and moves what stands, as its Leaving plans; calls of staff at either process reach both; its holdings count for the successor's decisions and the tier's sums; descriptors of both stay under the node's limit.

--- a/sailrun/control/desk.py
+++ b/sailrun/control/desk.py
@@ -5,18 +5,15 @@
 import contextlib
 import os
 import socket
-from collections.abc import Callable
 from functools import partial
-from typing import TypeVar
 
 import anyio
 from anyio.abc import TaskGroup
 
 from sailrun.connection import Connection, Overlong
 from sailrun.control.calls import LONGEST_CALL, BadCall, Call, Verb, fail, ok, parse_call, show
-from sailrun.node.core import Node, Reply
-
-T = TypeVar("T")
+from sailrun.node.core import Node
+from sailrun.node.reply import answer_to
 
 SECOND = 1_000_000
 # So many callers at once. A descriptor for each is held open from the start: a node that may open no more
@@ -127,26 +124,13 @@
         node = self._node
         match call.verb:
             case Verb.VARS:
-                return show(await _reply(node.figures))
+                return show(await answer_to(node.figures))
             case Verb.CHECK:
-                return ok() if await _reply(node.takes_households) else fail("takes no households")
+                return ok() if await answer_to(node.takes_households) else fail("takes no households")
             case Verb.SET_DOWN | Verb.SET_UP:
                 out = call.verb is Verb.SET_DOWN
-                known = await _reply(partial(node.by_hand, call.form_server, out))
+                known = await answer_to(partial(node.by_hand, call.form_server, out))
                 return ok() if known else fail(f"no form server '{call.form_server[:80]}'")
             case Verb.DRAIN_ON | Verb.DRAIN_OFF:
-                await _reply(partial(node.drain, call.verb is Verb.DRAIN_ON))
+                await answer_to(partial(node.drain, call.verb is Verb.DRAIN_ON))
                 return ok()
-
-
-async def _reply(ask: Callable[[Reply[T]], None]) -> T:
-    """What the core's one task answers, in its next turn."""
-    answered, answers = anyio.Event(), list[T]()
-
-    def reply(value: T) -> None:
-        answers.append(value)
-        answered.set()
-
-    ask(reply)
-    await answered.wait()
-    return answers[0]
--- a/sailrun/front.py
+++ b/sailrun/front.py
@@ -82,11 +82,28 @@
         self._accepting = anyio.CancelScope()
         self._open = anyio.CancelScope()
         self._shut = anyio.Event()
+        self._resumed: anyio.Event | None = None  # set again once households are taken, if they are not now
 
     def close(self) -> None:
         """Gives the listener up before it was ever run."""
         self._listener.close()
 
+    @property
+    def listener(self) -> socket.socket:
+        """For whoever shares it."""
+        return self._listener
+
+    def pause(self) -> None:
+        """Leaves new connections in the listener's queue, to the process that shares it, until `resume`."""
+        if self._resumed is None:
+            self._resumed = anyio.Event()
+            self._accepting.cancel()
+
+    def resume(self) -> None:
+        if self._resumed is not None:
+            self._resumed.set()
+            self._resumed = None
+
     def shut(self) -> None:
         """Takes no new connection from now on, and ends those there are within `LEAVE_BY_US`."""
         self._shut.set()
@@ -96,25 +113,29 @@
         """Accepts connections until cancelled or shut, and has each served by a task of its own."""
         with self._open:
             async with anyio.create_task_group() as group:
-                with self._accepting:
-                    await self._keep_accepting(group)
-                if self._shut.is_set():
-                    await self._see_out()
-                    self._open.cancel()
+                try:
+                    while not self._shut.is_set():
+                        with self._accepting:
+                            if self._resumed is not None:
+                                await self._resumed.wait()
+                            await self._keep_accepting(group)
+                        if not self._shut.is_set():
+                            self._accepting = anyio.CancelScope()
+                finally:
+                    anyio.notify_closing(self._listener)
+                    self._listener.close()
+                await self._see_out()
+                self._open.cancel()
 
     async def _keep_accepting(self, group: TaskGroup) -> None:
-        try:
-            while True:
-                try:
-                    group.start_soon(self._serve, await accept(self._listener))
-                except OutOfDescriptors:
-                    # Those who knock stay in the listener's queue until others have gone.
-                    log("out-of-descriptors", doing="accept")
-                    self._waiting.make_room()
-                    await anyio.sleep_until(anyio.current_time() + 0.05)
-        finally:
-            anyio.notify_closing(self._listener)
-            self._listener.close()
+        while True:
+            try:
+                group.start_soon(self._serve, await accept(self._listener))
+            except OutOfDescriptors:
+                # Those who knock stay in the listener's queue until others have gone.
+                log("out-of-descriptors", doing="accept")
+                self._waiting.make_room()
+                await anyio.sleep_until(anyio.current_time() + 0.05)
 
     async def _serve(self, sock: socket.socket) -> None:
         guest = self._greet(sock)
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -11,7 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any, Protocol, TypeVar
+from typing import TYPE_CHECKING, Any, Protocol
 
 import anyio
 
@@ -22,21 +22,21 @@
 from sailrun.node.clock import Clock, log
 from sailrun.node.counts import Counts, Figures
 from sailrun.node.leaving import Leaving, Reason
+from sailrun.node.passage import Held, State
+from sailrun.node.reply import Reply
 from sailrun.node.session import FormServer, FormSession, Placement, RosterNews, server_number
 from sailrun.node.watch import ServerWatch
 
 if TYPE_CHECKING:
     from sailrun.rebalance.balance import Rebalancer
 
-T = TypeVar("T")
-
 SECOND = 1_000_000
 FLEET = bytes((VERSION,))
 SWEEP_US = 100_000
+# What a predecessor has told of itself holds for so long.
+PREDECESSOR_US = 1 * SECOND
 PULSE_US = 10 * SECOND
 
-Reply = Callable[[T], None]  # takes the answer to a question put to the core
-
 
 class Roster(Protocol):
     """Where the core asks for the list of form servers."""
@@ -69,7 +69,9 @@
         clock: Clock,
         known: RosterNews,
         log: Callable[..., None] = log,
+        passed: State | None = None,
     ) -> None:
+        """`passed`: what a predecessor has told this process, which succeeds it."""
         self.clock = clock
         self.wake: Callable[[], None] = lambda: None  # the queue is no longer empty
         self._log = log
@@ -101,7 +103,13 @@
         self._slow_us = min(aims) / 3 if aims else 0.0
         # From what on form servers say what a message takes, in ms; 0: they never do.
         self.told_from_ms = self._slow_us / 1000 if settings.tells_delay else 0.0
-        self._known = known
+        self._known, self._passed = known, passed
+        self._revision = known.revision
+        self._predecessor: Held | None = None  # what the process before this one still holds
+        self._others: Others | None = None  # what the other nodes hold, for as long as that is known
+        self._others_until_us = self._now
+        # Told of what staff ask of this process, where another one is to hear of it.
+        self.on_staff: Callable[[str, Any], None] = lambda kind, content: None
         self.stopped = False
 
     # ------------------------------------------------------------------ what others tell
@@ -202,6 +210,26 @@
         """Sends all households away, and takes none until it is over."""
         self._post(lambda: reply(self._drain(on)))
 
+    # What passes between two processes that are one node.
+
+    def pass_on(self, reply: Reply[State]) -> None:
+        self._post(lambda: reply(self._state()))
+
+    def holds(self, reply: Reply[Held]) -> None:
+        self._post(lambda: reply(self._held()))
+
+    def succeeded(self, yes: bool) -> None:
+        """A successor takes the households from now on; or is gone, and they are this process's again."""
+        self._post(self._succeeded, yes)
+
+    def predecessor_holds(self, held: Held | None) -> None:
+        """None: it has ended."""
+        self._post(self._predecessor_holds, held)
+
+    def staff_said_elsewhere(self, kind: str, content: Any) -> None:
+        """What staff asked of the other process: `hand` with a name and whether it is out, or `drain`."""
+        self._post(self._staff_said_elsewhere, kind, content)
+
     def reloaded(self, taken: bool) -> None:
         """A new configuration was taken over, or was not usable."""
         self._post(self._reloaded, taken)
@@ -224,10 +252,16 @@
 
     def start(self) -> None:
         self._roster_told(self._known)
+        if self._passed is not None:
+            for name in sorted(self._passed.out_by_hand):
+                self._hand(name, True)
+            self._feed(self._passed.learned)
+            if self._passed.draining:
+                self._drain(True)
 
     def due_us(self) -> int:
         """When a turn is due even if nobody calls."""
-        fleet_us = self._fleet.due_us() if self._fleet is not None else self._sweep_us
+        fleet_us = self._fleet.due_us() if self._fleet is not None and self._tells else self._sweep_us
         return min(self._sweep_us, fleet_us, self._timers[0][0] if self._timers else self._sweep_us)
 
     def turn(self, now_us: int) -> None:
@@ -237,7 +271,7 @@
             self._calls.popleft()()
         while self._timers and self._timers[0][0] <= self._now:
             self._feed(i.TimerFired(heapq.heappop(self._timers)[1]))
-        if self._fleet is not None and self._now >= self._fleet.due_us():
+        if self._fleet is not None and self._tells and self._now >= self._fleet.due_us():
             outgoing, others = self._fleet.turn(self._now, self._holding())
             for neighbour, content in outgoing:
                 if self.neighbours is not None:
@@ -454,6 +488,7 @@
         self._feed(i.AttemptNotice(session.id, attempt, number, i.NoticeKind.DELAY, value_ms))
 
     def _roster_told(self, news: RosterNews) -> None:
+        self._revision = news.revision
         if news.kind is not i.ListKind.CACHED:
             self._log(
                 "roster",
@@ -483,18 +518,39 @@
         self._aside(lambda rebalancer: rebalancer.roster_lost(self._now))
         self._feed(i.ListUpdate(i.ListKind.FAILED))
 
+    @property
+    def _tells(self) -> bool:
+        """Whether it is this process that speaks for the node: of two, the successor."""
+        return Reason.SUCCEEDED not in self.leaving
+
     def _holding(self) -> Holding:
-        return Holding(*self._module.holding())
+        """What the node holds, a predecessor's part included."""
+        own = Holding(*self._module.holding())
+        before = self._predecessor
+        if before is None or before.told is not own.told:
+            return own
+        loads = {number: load + before.loads.get(number, 0.0) for number, load in own.loads.items()}
+        return replace(own, loads=loads, connections=own.connections + before.connections)
 
     def _others_hold(self, others: Others | None) -> None:
         if others is not None and self._fleet is not None:
             self._heard_of = others.nodes
-            until_us = self._now + self._fleet.holds_us
-            self._feed(
-                i.OthersHold(
-                    others.loads, others.connections, others.told, others.nodes, others.warned, until_us
-                )
-            )
+            self._others, self._others_until_us = others, self._now + self._fleet.holds_us
+            self._count_others()
+
+    def _count_others(self) -> None:
+        """Tells the module what others hold: the other nodes, and the process before this one."""
+        others, before = self._others, self._predecessor
+        until_us = self._others_until_us
+        if others is None or self._now >= until_us:
+            others, until_us = Others({}, 0, before is not None and before.told, 1, frozenset()), self._now
+        loads, connections = others.loads, others.connections
+        if before is not None and (before.told is others.told or not connections):
+            loads = {n: loads.get(n, 0.0) + before.loads.get(n, 0.0) for n in {*loads, *before.loads}}
+            connections += before.connections
+            until_us = max(until_us, self._now + PREDECESSOR_US)
+        told = others.told if others.connections or before is None else before.told
+        self._feed(i.OthersHold(loads, connections, told, others.nodes, others.warned, until_us))
 
     def _neighbour_said(self, neighbour: int, content: bytes) -> None:
         if self._fleet is not None and content[:1] == FLEET:
@@ -628,12 +684,15 @@
             (self._out_by_hand.add if out else self._out_by_hand.discard)(name)
             self._log("by-hand", server=name, out=out)
             self._feed(i.ByHand(server_number(name), out))
+            self.on_staff("hand", [name, out])
             if (known := self._form_servers.get(server_number(name))) is not None:
                 entries = (self._as_it_takes(known),)
                 self._aside(lambda rebalancer: rebalancer.listed(self._now, i.ListKind.DELTA, entries))
         return True
 
     def _drain(self, on: bool) -> bool:
+        if on is not (Reason.DRAIN in self.leaving):
+            self.on_staff("drain", on)
         if on:
             self._leave(Reason.DRAIN)
         elif self.leaving.withdraw(Reason.DRAIN):
@@ -642,6 +701,33 @@
                 self._aside(lambda rebalancer: rebalancer.leave(False))
         return True
 
+    def _state(self) -> State:
+        listed = tuple(s for s in self._form_servers.values() if s.state is not i.BackendState.GONE)
+        roster = RosterNews(i.ListKind.CACHED, self._revision, listed)
+        draining = Reason.DRAIN in self.leaving
+        return State(roster, frozenset(self._out_by_hand), draining, self._module.learned())
+
+    def _held(self) -> Held:
+        holding = Holding(*self._module.holding())
+        return Held(holding.loads, holding.connections, holding.told)
+
+    def _succeeded(self, yes: bool) -> None:
+        if yes:
+            self._leave(Reason.SUCCEEDED)
+        elif self.leaving.withdraw(Reason.SUCCEEDED):
+            self._log("successor-lost", sessions=len(self._standing()))
+
+    def _predecessor_holds(self, held: Held | None) -> None:
+        self._predecessor = held
+        self._count_others()
+
+    def _staff_said_elsewhere(self, kind: str, content: Any) -> None:
+        match kind, content:
+            case "hand", [str(name), bool(out)]:
+                self._hand(name, out)
+            case "drain", bool(on):
+                self._drain(on)
+
     def _leave(self, reason: Reason) -> None:
         if self.leaving.begin(reason, self._now):
             self._aside(lambda rebalancer: rebalancer.leave())
--- a/sailrun/node/leaving.py
+++ b/sailrun/node/leaving.py
@@ -36,7 +36,7 @@
 
     begin_us: int  # moves begin,
     done_us: int  # and all are out by then
-    newcomers_us: int  # newcomers may come until then; 0: none do
+    newcomers_us: int  # newcomers may come until then, or a successor fail that has only just begun
     give_up_us: int  # who still waits is given an answer
     stays: bool  # the process goes on afterwards
 
@@ -46,7 +46,7 @@
     longest_us = min(LONGEST_US, longest_us)
     if reason is Reason.SUCCEEDED:
         done_us = now_us + SUCCEEDED_US
-        return Plan(now_us, done_us, 0, done_us + longest_us, False)
+        return Plan(now_us, done_us, now_us + NEWCOMERS_US, done_us + longest_us, False)
     begin_us, done_us = now_us + int(MOVES_BEGIN * longest_us), now_us + int(MOVES_END * longest_us)
     # After a drain's time a straggler is answered at once: it stays for as long as the drain.
     return Plan(begin_us, done_us, now_us + NEWCOMERS_US, now_us + longest_us, reason is Reason.DRAIN)
--- /dev/null
+++ b/sailrun/node/passage.py
@@ -0,0 +1,29 @@
+"""What a process tells the one that succeeds it, so that the two are one node."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from sailrun.interface import Recalled
+from sailrun.node.session import RosterNews
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """Told once, when the successor starts. Times are Unix microseconds of the machine's one clock."""
+
+    roster: RosterNews
+    out_by_hand: frozenset[str]
+    draining: bool
+    learned: Recalled
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """Told again and again: what the predecessor still holds."""
+
+    loads: Mapping[int, float]  # by the form servers' numbers
+    connections: int
+    told: bool  # loads are us of work a second, not connections
+    descriptors: int = 0
--- a/sailrun/platform/neighbours.py
+++ b/sailrun/platform/neighbours.py
@@ -21,12 +21,37 @@
 class Datagrams:
     """The core's `Neighbours`."""
 
-    def __init__(self, node: Node, listen: Address, peers: list[Address], everyone: Address | None) -> None:
+    def __init__(
+        self,
+        node: Node,
+        listen: Address,
+        peers: list[Address],
+        everyone: Address | None,
+        shared: bool = False,
+        inherited: socket.socket | None = None,
+    ) -> None:
+        """Shared: a successor that cannot be handed the socket may listen beside this process."""
         self._node = node
         self._peers = peers
         self._everyone = everyone
-        self._socket = new_socket(listen[0], socket.SOCK_DGRAM)
-        self._socket.bind(listen)
+        self._reads = anyio.Event()  # set while datagrams are this process's to read
+        self._reads.set()
+        self._reading = anyio.CancelScope()
+        if inherited is not None:
+            self.socket = inherited
+            return
+        self.socket = new_socket(listen[0], socket.SOCK_DGRAM)
+        if shared:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        self.socket.bind(listen)
+
+    def pause(self) -> None:
+        """Leaves datagrams to the process that shares the socket, until `resume`."""
+        self._reads = anyio.Event()
+        self._reading.cancel()
+
+    def resume(self) -> None:
+        self._reads.set()
 
     def tell(self, neighbour: int | None, content: bytes) -> None:
         if len(content) > LONGEST_DATAGRAM:
@@ -38,15 +63,21 @@
             to = self._peers[neighbour] if 0 <= neighbour < len(self._peers) else None
         if to is not None:
             try:
-                self._socket.sendto(content, to)
+                self.socket.sendto(content, to)
             except OSError as error:
                 log("neighbour-unreached", neighbour=neighbour, error=str(error))
 
     async def run(self) -> None:
         while True:
-            await anyio.wait_readable(self._socket)
+            await self._reads.wait()
+            with anyio.CancelScope() as self._reading:
+                await self._read()
+
+    async def _read(self) -> None:
+        while True:
+            await anyio.wait_readable(self.socket)
             try:
-                content, sender = self._socket.recvfrom(LONGEST_DATAGRAM + 1)
+                content, sender = self.socket.recvfrom(LONGEST_DATAGRAM + 1)
             except OSError:
                 continue
             if sender in self._peers:
--- a/sailrun/roster.py
+++ b/sailrun/roster.py
@@ -25,6 +25,11 @@
 }
 
 
+def phase_of(state: BackendState) -> str:
+    """The roster's word for a form server's state."""
+    return next(phase for phase, known in _STATES.items() if known is state)
+
+
 class BadRoster(ValueError):
     """An answer that is no list of form servers."""
 
--- a/sailrun/serve.py
+++ b/sailrun/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import socket
 from collections.abc import Callable, Iterable
 from dataclasses import fields
 from typing import TYPE_CHECKING, Protocol
@@ -10,9 +11,9 @@
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
 
-from sailrun.config import BadConfig, EnvoyFiles, EnvoyRest, NodeConfig, ServerRoster
+from sailrun.config import Address, BadConfig, EnvoyFiles, EnvoyRest, NodeConfig, ServerRoster
 from sailrun.connection import listen, show_address
-from sailrun.front import descriptors_allowed
+from sailrun.front import FrontDoor, descriptors_allowed
 from sailrun.node.clock import Clock, log
 from sailrun.node.core import Node
 from sailrun.platform.households import Households
@@ -20,6 +21,7 @@
 from sailrun.roster import RosterClient
 
 if TYPE_CHECKING:
+    from sailrun.succession.handover import Inherited
     from sailrun.xds.rosters import EnvoyRoster
 
 # What a new file changes in a running node; the rest waits for its next start, but for what every
@@ -37,15 +39,28 @@
     async def run(self) -> None: ...
 
 
+def _identity(config: NodeConfig) -> str:
+    """What a node keeps when its process is replaced."""
+    listens = config.listen or (config.amqp.listen if config.amqp else None)
+    return f"{config.name} {show_address(listens) if listens else ''}"
+
+
 class Service:
     """A running node and the configuration in force."""
 
     group: TaskGroup
 
-    def __init__(self, read: Callable[[], NodeConfig], config: NodeConfig) -> None:
+    def __init__(
+        self, read: Callable[[], NodeConfig], config: NodeConfig, inherited: Inherited | None = None
+    ) -> None:
         self._read = read
         self._config = config
-        self.node = Node(config.settings, config.seed, Clock(), config.known)
+        self._inherited = inherited
+        passed = inherited.state if inherited is not None else None
+        # A predecessor's list is newer than the platform's, and its watch can be gone on with.
+        known = passed.roster if passed is not None and passed.roster.form_servers else config.known
+        self.node = Node(config.settings, config.seed, Clock(), known, passed=passed)
+        self._revision = known.revision
         descriptors = descriptors_allowed(config.descriptors)
         self._households = Households(self.node, config.groups, descriptors)
         self._descriptors = descriptors
@@ -56,7 +71,14 @@
         self._switch(config)
         self._datagrams: Datagrams | None = None
         if config.settings.peer_messages and config.peer_listen is not None:
-            self._datagrams = Datagrams(self.node, config.peer_listen, config.peers, config.peers_all)
+            self._datagrams = Datagrams(
+                self.node,
+                config.peer_listen,
+                config.peers,
+                config.peers_all,
+                config.control is not None,
+                self._handed("peer", config.peer_listen),
+            )
             self.node.neighbours = self._datagrams
 
     def _switch(self, config: NodeConfig) -> None:
@@ -88,24 +110,47 @@
         # A successor that cannot be handed the listeners may listen beside this process.
         shared = config.control is not None
         if key == "listen" and config.listen is not None:
-            return self._households.door(listen(config.listen, shared))
+            listener = self._handed(key, config.listen) or listen(config.listen, shared)
+            return self._households.door(listener)
         if key == "amqp" and config.amqp is not None:
             # Loaded only where it is switched on: the platform's nodes carry neither engine nor codec.
             from sailrun.amqp.engine import AmqpTerms
             from sailrun.amqp.households import amqp_door
 
             terms = AmqpTerms(config.name, config.amqp.max_frame_size, config.amqp.idle_time_out_ms)
-            return amqp_door(self.node, listen(config.amqp.listen, shared), terms, self._descriptors)
+            listener = self._handed(key, config.amqp.listen) or listen(config.amqp.listen, shared)
+            return amqp_door(self.node, listener, terms, self._descriptors)
         if key == "control" and config.control is not None:
             from sailrun.control.desk import Desk
 
             return Desk(self.node, listen(config.control))
         return None
 
+    def _handed(self, key: str, address: Address) -> socket.socket | None:
+        """The predecessor's socket at the address, if it handed one over."""
+        return self._inherited.socket_for(key, address) if self._inherited is not None else None
+
+    def _shared(self) -> dict[str, socket.socket]:
+        """What a successor is handed."""
+        sockets = {key: door.listener for key, door in self._fronts()}
+        if self._datagrams is not None:
+            sockets["peer"] = self._datagrams.socket
+        return sockets
+
+    def _fronts(self) -> list[tuple[str, FrontDoor]]:
+        return [(key, door) for key, door in self._open_doors.items() if isinstance(door, FrontDoor)]
+
+    def _pause(self, yes: bool) -> None:
+        """Leaves newcomers and datagrams to the successor, which shares the sockets; or takes them again."""
+        for _, door in self._fronts():
+            door.pause() if yes else door.resume()
+        if self._datagrams is not None:
+            self._datagrams.pause() if yes else self._datagrams.resume()
+
     def _roster_for(self, config: NodeConfig) -> RosterClient | EnvoyRoster:
         match config.roster:
             case ServerRoster(address):
-                return RosterClient(self.node, address, config.known.revision)
+                return RosterClient(self.node, address, self._revision)
             case EnvoyFiles(cluster, clusters, endpoints):
                 from sailrun.xds.rosters import FileRoster
 
@@ -124,6 +169,18 @@
             self.node.prober = Probes(self.node, group)
         if self._datagrams is not None:
             group.start_soon(self._datagrams.run)
+        if self._config.control is not None:
+            from sailrun.succession.handover import Handover
+
+            handover = Handover(
+                self.node,
+                _identity(self._config),
+                self._descriptors,
+                self._shared,
+                self._pause,
+                self._inherited,
+            )
+            group.start_soon(handover.run)
 
     async def _ask_roster(self) -> None:
         roster, scope = self._roster, self._asking
@@ -194,7 +251,13 @@
 
 async def serve(read: Callable[[], NodeConfig]) -> None:
     config = read()
-    service = Service(read, config)
+    inherited = None
+    if config.control is not None:
+        # Loaded, and a predecessor asked for, only where staff run the node day by day.
+        from sailrun.succession.handover import inherit
+
+        inherited = inherit(_identity(config))
+    service = Service(read, config, inherited)
     async with anyio.create_task_group() as group:
         await group.start(service.heed_signals)
         service.open(group)
--- /dev/null
+++ b/sailrun/succession/handover.py
@@ -0,0 +1,262 @@
+"""One process's part in being replaced: as the successor, and as whoever may be succeeded."""
+
+from __future__ import annotations
+
+import os
+import resource
+import socket
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
+from functools import partial
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from sailrun.connection import Connection, Overlong, show_address
+from sailrun.node.clock import log
+from sailrun.node.core import Node
+from sailrun.node.leaving import Reason
+from sailrun.node.passage import State
+from sailrun.node.reply import answer_to
+from sailrun.succession.link import MOST_SOCKETS, Doorstep, as_connection, hand, is_ours, knock, receive
+from sailrun.succession.rules import Succession
+from sailrun.succession.state import (
+    BadPassage,
+    pack,
+    read_held,
+    read_state,
+    unpack,
+    write_held,
+    write_state,
+)
+
+SECOND = 1_000_000
+# A predecessor is busy serving: so long a successor waits for its answer, and asks again meanwhile where it
+# was told to, every so often.
+ASK_S, AGAIN_S = 3.0, 0.05
+# A predecessor tells so often what it still holds.
+TELL_US = SECOND // 4
+# Whoever knocks and does not say what it wants has so long.
+KNOCK_US = 2 * SECOND
+# A successor keeps at least so many descriptors, whatever its predecessor has open.
+LEAST_DESCRIPTORS = 64
+
+
+@dataclass(slots=True)
+class Inherited:
+    """What a predecessor handed over."""
+
+    link: Connection
+    state: State | None  # None: what came was not usable
+    sockets: dict[str, socket.socket] = field(default_factory=dict)
+
+    def socket_for(self, key: str, address: tuple[str, int]) -> socket.socket | None:
+        """The socket under this key, if it is at the address; it is the caller's from then on."""
+        sock = self.sockets.pop(key, None)
+        if sock is not None and sock.getsockname()[:2] != address:
+            sock.close()
+            return None
+        return sock
+
+    def close(self) -> None:
+        """Nothing was made of it."""
+        for sock in self.sockets.values():
+            sock.close()
+        self.link.close()
+
+
+def inherit(name: str) -> Inherited | None:
+    """Asks the process that has this name now for what it has; None where there is none. Blocks: this process
+    has nothing else to do yet.
+    """
+    deadline = time.monotonic() + ASK_S
+    while (sock := knock(name)) is not None:
+        try:
+            sock.sendall(pack("succeed", None))
+            line, sockets = receive(sock, deadline)
+        except OSError as error:
+            sock.close()
+            if time.monotonic() + AGAIN_S < deadline and isinstance(error, ConnectionError):
+                time.sleep(AGAIN_S)  # it hands over to another one, or has just ended
+                continue
+            log("predecessor-silent", error=str(error))
+            return None
+        named, state = list[str](), None
+        try:
+            _, content = unpack(line)
+            named = [str(key) for key in content["sockets"]]
+            state = read_state(content["state"])
+        except (BadPassage, KeyError, TypeError) as error:
+            log("passage-dropped", why=str(error))
+        if len(named) != len(sockets):
+            named = [f"unknown {n}" for n in range(len(sockets))]
+        return Inherited(as_connection(sock), state, dict(zip(named, sockets, strict=True)))
+    return None
+
+
+class Handover:
+    """Answers at the doorstep, and keeps the line to the other process where there is one."""
+
+    def __init__(
+        self,
+        node: Node,
+        name: str,
+        descriptors: int,
+        sockets: Callable[[], Mapping[str, socket.socket]],
+        pause: Callable[[bool], None],
+        inherited: Inherited | None,
+    ) -> None:
+        """`name`: what the node keeps when its process is replaced; `sockets`: those that a successor is
+        handed, by key; `pause`: leaves what comes in at them to it, or takes it again.
+        """
+        self._node, self._name, self._descriptors = node, name, descriptors
+        self._sockets, self._pause, self._inherited = sockets, pause, inherited
+        self._rules = Succession()
+        self._links: dict[Connection, anyio.Event] = {}  # set when there is something to write
+        self._outboxes: dict[Connection, list[bytes]] = {}
+        node.on_staff = self._staff_said
+
+    async def run(self) -> None:
+        """Until cancelled. A successor is announced first, so that its predecessor takes no more."""
+        async with anyio.create_task_group() as group:
+            if self._inherited is not None:
+                group.start_soon(self._follow, self._inherited)
+            try:
+                doorstep = Doorstep(self._name)
+            except OSError as error:
+                log("no-doorstep", error=str(error))
+                return
+            try:
+                while True:
+                    await anyio.wait_readable(doorstep.listener)
+                    try:
+                        sock = doorstep.listener.accept()[0]
+                    except OSError:  # gone again, or no descriptor: it knocks once more
+                        await anyio.sleep_until(anyio.current_time() + 0.05)
+                        continue
+                    group.start_soon(self._meet, sock)
+            finally:
+                anyio.notify_closing(doorstep.listener)
+                doorstep.close()
+
+    # ------------------------------------------------------------------ lines between the two
+
+    def _staff_said(self, kind: str, content: Any) -> None:
+        for link in self._links:
+            self._say(link, kind, content)
+
+    def _say(self, link: Connection, kind: str, content: Any) -> None:
+        if link in self._links:
+            self._outboxes[link].append(pack(kind, content))
+            self._links[link].set()
+
+    async def _write(self, link: Connection) -> None:
+        while True:
+            await self._links[link].wait()
+            self._links[link] = anyio.Event()
+            lines, self._outboxes[link] = self._outboxes[link], []
+            await link.write(b"".join(lines))
+
+    async def _converse(self, link: Connection, hear: Callable[[str, Any, TaskGroup], None]) -> None:
+        """Writes what there is to say and hears the other process, until it has ended."""
+        self._links[link], self._outboxes[link] = anyio.Event(), []
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._write, link)
+                while (line := await _line(link)) is not None:
+                    kind, content = unpack(line)
+                    hear(kind, content, group)
+                group.cancel_scope.cancel()
+        except* (OSError, Overlong):
+            pass  # it has ended
+        except* BadPassage as broken:
+            log("passage-dropped", why=str(broken.exceptions[0]))
+        finally:
+            del self._links[link], self._outboxes[link]
+            link.close()
+
+    # ------------------------------------------------------------------ as the successor
+
+    async def _follow(self, inherited: Inherited) -> None:
+        def hear(kind: str, content: Any, group: TaskGroup) -> None:
+            if kind == "held":
+                held = read_held(content)
+                self._leave_descriptors(held.descriptors)
+                self._node.predecessor_holds(held)
+            else:
+                self._node.staff_said_elsewhere(kind, content)
+
+        try:
+            await inherited.link.write(pack("took", None))
+            await self._converse(inherited.link, hear)
+        except OSError:
+            inherited.link.close()  # it ended while this process started
+        finally:
+            self._leave_descriptors(0)
+            self._node.predecessor_holds(None)
+        log("predecessor-ended")
+
+    def _leave_descriptors(self, count: int) -> None:
+        """Together the two hold no more than one node may."""
+        hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+        resource.setrlimit(resource.RLIMIT_NOFILE, (max(LEAST_DESCRIPTORS, self._descriptors - count), hard))
+
+    # ------------------------------------------------------------------ as who is succeeded
+
+    async def _meet(self, sock: socket.socket) -> None:
+        link, clock = as_connection(sock), self._node.clock
+        asked = False
+        with anyio.CancelScope(deadline=clock.moment(clock.now_us() + KNOCK_US)):
+            try:
+                line = await _line(link) if is_ours(sock) else None
+                asked = line is not None and unpack(line)[0] == "succeed"
+            except (OSError, Overlong, BadPassage) as error:
+                log("passage-dropped", why=str(error))
+        if not asked or not self._rules.asked():
+            link.close()
+            return
+        try:
+            state = await answer_to(self._node.pass_on)
+            sockets = dict(list(self._sockets().items())[:MOST_SOCKETS])
+            content = {"sockets": list(sockets), "state": write_state(state)}
+            await hand(link, pack("state", content), list(sockets.values()))
+            log("handed-over", sockets=",".join(f"{k}={_shown(s)}" for k, s in sockets.items()))
+            await self._converse(link, partial(self._hear_successor, link))
+        except OSError as error:
+            log("successor-unreached", error=str(error))
+            link.close()
+        finally:
+            if self._rules.lost(Reason.RESTART in self._node.leaving):
+                self._node.succeeded(False)
+                self._pause(False)
+
+    def _hear_successor(self, link: Connection, kind: str, content: Any, group: TaskGroup) -> None:
+        if kind != "took":
+            self._node.staff_said_elsewhere(kind, content)
+        elif self._rules.took():
+            self._pause(True)
+            self._node.succeeded(True)
+            group.start_soon(self._tell, link)
+
+    async def _tell(self, link: Connection) -> None:
+        clock = self._node.clock
+        next_us = clock.now_us()
+        while True:
+            held = await answer_to(self._node.holds)
+            descriptors = len(os.listdir("/proc/self/fd"))
+            self._say(link, "held", write_held(replace(held, descriptors=descriptors)))
+            next_us += TELL_US
+            await anyio.sleep_until(clock.moment(next_us))
+
+
+def _shown(sock: socket.socket) -> str:
+    return show_address(sock.getsockname()[:2])
+
+
+async def _line(link: Connection) -> bytes | None:
+    while (line := link.take_line()) is None:
+        if not await link.fill():
+            return None
+    return line
--- /dev/null
+++ b/sailrun/succession/state.py
@@ -0,0 +1,147 @@
+"""What passes from a predecessor to its successor, as checked lines of JSON. Pure.
+
+A line is the version, a checksum and a kind with its content. What is torn, of another version or out of
+form raises BadPassage, and nothing of it is used.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import zlib
+from dataclasses import fields
+from typing import Any
+
+from sailrun import interface as i
+from sailrun.connection import show_address
+from sailrun.node.passage import Held, State
+from sailrun.node.session import FormServer
+from sailrun.roster import BadRoster, phase_of, read_news
+
+VERSION = 1
+# Over this a line is no state of ours: 1,400 form servers take half of it.
+LONGEST = 2 * 1024 * 1024
+
+
+class BadPassage(ValueError):
+    """No usable line; says why."""
+
+
+def pack(kind: str, content: Any) -> bytes:
+    text = json.dumps([kind, content], allow_nan=False, separators=(",", ":")).encode()
+    return b"%d %08x %s\n" % (VERSION, zlib.crc32(text), text)
+
+
+def unpack(line: bytes) -> tuple[str, Any]:
+    if not line.endswith(b"\n"):
+        raise BadPassage("torn")
+    version, _, rest = line[:-1].partition(b" ")
+    if version != b"%d" % VERSION:
+        raise BadPassage(f"of version {version[:20].decode('ascii', 'replace')}, not {VERSION}")
+    checksum, _, text = rest.partition(b" ")
+    if checksum != b"%08x" % zlib.crc32(text):
+        raise BadPassage("its checksum is wrong")
+    try:
+        kind, content = json.loads(text)
+    except (ValueError, TypeError, RecursionError):
+        raise BadPassage("no kind and content") from None
+    if not isinstance(kind, str):
+        raise BadPassage("its kind is no text")
+    return kind, content
+
+
+def write_state(state: State) -> dict[str, Any]:
+    learned = state.learned
+    return {
+        "roster": {
+            "revision": state.roster.revision,
+            "complete": True,
+            "members": [_entry(s) for s in state.roster.form_servers],
+        },
+        "out_by_hand": sorted(state.out_by_hand),
+        "draining": state.draining,
+        "learned": [[_number(getattr(one, n)) for n in i.LEARNED] for one in learned.backends],
+        "pace": list(learned.pace),
+        "class_load": {name: list(told) for name, told in learned.class_load.items()},
+    }
+
+
+def _entry(server: FormServer) -> dict[str, Any]:
+    """In the roster's own form, so that it is checked the same way."""
+    return {
+        "id": server.name,
+        "host_port": show_address(server.address),
+        "locality": server.zone,
+        "cell": server.cell,
+        "phase": phase_of(server.state),
+        "size": server.size,
+        "up_since_ms": server.started_us // 1000,
+    }
+
+
+def _number(value: Any) -> Any:
+    return None if isinstance(value, float) and math.isinf(value) else value
+
+
+def read_state(content: Any) -> State:
+    try:
+        roster = read_news(content["roster"], cached=True)
+        by_hand, draining = content["out_by_hand"], content["draining"]
+        if not isinstance(content["learned"], list):
+            raise ValueError("'learned' is no list")
+        backends = tuple(_learned(values) for values in content["learned"])
+        pace = tuple(_finite(value) for value in content["pace"])
+        class_load = {
+            str(k): (_finite(mean), int(notes)) for k, (mean, notes) in content["class_load"].items()
+        }
+    except BadRoster as error:
+        raise BadPassage(f"its roster: {error}") from None
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+        raise BadPassage(f"not in its form: {error!r}") from None
+    if len(pace) != len(i.PACE):
+        raise BadPassage("its pace is of another form")
+    if not isinstance(by_hand, list) or not all(isinstance(name, str) for name in by_hand):
+        raise BadPassage("'out_by_hand' is no list of ids")
+    if not isinstance(draining, bool):
+        raise BadPassage("'draining' is neither true nor false")
+    return State(roster, frozenset(by_hand), draining, i.Recalled(backends, pace, class_load))
+
+
+def _finite(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise ValueError(f"{value!r} is no number")
+    return value
+
+
+def _learned(values: Any) -> i.Learned:
+    kinds = [f.type for f in fields(i.Learned)]
+    given: dict[str, Any] = {}
+    for name, kind, value in zip(i.LEARNED, kinds, values, strict=True):
+        if kind == "bool":
+            if not isinstance(value, bool):
+                raise ValueError(f"'{name}' is {value!r}")
+            given[name] = value
+        else:
+            given[name] = math.inf if value is None else _finite(value)
+            if kind == "int" and not isinstance(given[name], int):
+                raise ValueError(f"'{name}' is {value!r}")
+    return i.Learned(**given)
+
+
+def write_held(held: Held) -> dict[str, Any]:
+    loads = [[number, load] for number, load in held.loads.items() if load > 0]
+    return {
+        "loads": loads,
+        "connections": held.connections,
+        "told": held.told,
+        "descriptors": held.descriptors,
+    }
+
+
+def read_held(content: Any) -> Held:
+    try:
+        loads = {int(_finite(number)): _finite(load) for number, load in content["loads"]}
+        connections, descriptors = int(content["connections"]), int(content["descriptors"])
+        return Held(loads, connections, content["told"] is True, descriptors)
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
+        raise BadPassage(f"not in its form: {error!r}") from None
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -188,7 +188,7 @@
 class RunningNode:
     def __init__(self, process: subprocess.Popen[str], listen: str) -> None:
         self.process, self.listen = process, listen
-        self.amqp = ""
+        self.amqp = self.control = ""
         self.lines: list[str] = []
         self._news = threading.Condition()
         threading.Thread(target=self._read, daemon=True).start()
@@ -215,12 +215,39 @@
     def connect(self) -> Peer:
         return Peer(connect(self.listen))
 
-    def ask(self, id_: str = "9b1f03aa5c7e2d41", wait_ms: int = 8000, more: str = "") -> Peer:
+    def ask(
+        self,
+        id_: str = "9b1f03aa5c7e2d41",
+        wait_ms: int = 8000,
+        more: str = "",
+        group: str = "5c0f6e1a2b3d4c59",
+    ) -> Peer:
         """A household that has sent its first line."""
         household = self.connect()
-        household.say(f"OPEN {id_} 7f3a9c21e0b4d655 c=page-load,d={wait_ms},g=5c0f6e1a2b3d4c59{more}")
+        household.say(f"OPEN {id_} 7f3a9c21e0b4d655 c=page-load,d={wait_ms},g={group}{more}")
         return household
 
+    def call(self, line: str) -> str:
+        """The second address's answer to a call."""
+        caller = Peer(connect(self.control))
+        caller.say(line)
+        answer = caller.file.read().decode().replace("\r\n", "\n").rstrip("\n")
+        caller.close()
+        return answer
+
+    def figures(self) -> dict[str, int]:
+        ok, *lines, eof = self.call("vars").split("\n")
+        assert (ok, eof) == ("ok", "eof")
+        pairs = [line.rpartition("|")[0].rpartition(":") for line in lines]
+        return {name.removeprefix("svc."): int(value) for name, _, value in pairs}
+
+    def until(self, name: str, value: int) -> dict[str, int]:
+        """Reads the figures until one has a value."""
+        until = time.monotonic() + PATIENCE_S
+        while (figures := self.figures())[name] != value:
+            assert time.monotonic() < until, figures
+        return figures
+
     def terminate(self) -> None:
         self.process.send_signal(signal.SIGTERM)
 
@@ -229,8 +256,8 @@
 def node(
     folder: Path, roster: Roster, prepare: Callable[[], None] | None = None, **changes: Any
 ) -> Iterator[RunningNode]:
-    """A node as the platform starts it."""
-    listen = f"127.0.0.1:{free_port()}"
+    """A node as the platform starts it; processes that share the folder may succeed one another."""
+    listen = changes.get("listen") or f"127.0.0.1:{free_port()}"
     config = {
         "name": "n1",
         "listen": listen,
@@ -243,7 +270,9 @@
     }
     path = folder / "config.json"
     path.write_text(json.dumps(config))
-    with _running([], {"RELAY_CONFIG": str(path)}, listen, prepare) as running:
+    environment = {"RELAY_CONFIG": str(path), "TMPDIR": str(folder)}
+    with _running([], environment, listen, prepare) as running:
+        running.control = changes.get("control", "")
         yield running
 
 
