Hand standing sessions to the successor as they are: both sockets and what was half said

Ruled out: doors (0 requests ended there), the list (passed over and watched on), descriptors and memory. The predecessor parts with each session at rest: its two sockets and what is held of a line go over, and stay the predecessor's too until the successor says it has them. Links of AMQP, and who is being drained, are still moved.

--- a/sailrun/amqp/households.py
+++ b/sailrun/amqp/households.py
@@ -17,6 +17,7 @@
 from sailrun.interface import Outcome
 from sailrun.node.clock import log
 from sailrun.node.core import Node
+from sailrun.node.passage import Take
 from sailrun.node.session import FormSession, Placement
 
 SECOND = 1_000_000
@@ -188,6 +189,9 @@
             self._moving = True
             self._front.group.start_soon(self._move)
 
+    def part(self, take: Take) -> None:
+        """Links can't: the engine's side of the connection is in this process. They are moved."""
+
     # ------------------------------------------------------------------ the life of the link
 
     async def _move(self) -> None:
--- a/sailrun/connection.py
+++ b/sailrun/connection.py
@@ -80,13 +80,28 @@
             await anyio.wait_readable(self.sock)
             try:
                 with memoryview(self._buffer) as view:
-                    count = self.sock.recv_into(view[self._end :])
+                    count = self._receive(view[self._end :])
             except (BlockingIOError, InterruptedError):
                 continue
             self._end += count
             self.ended = count == 0
             return count > 0
 
+    def _receive(self, room: memoryview) -> int:
+        return self.sock.recv_into(room)
+
+    def restore(self, data: bytes, shown: bool) -> None:
+        """Holds these bytes again, which another process had read; `shown`: `fresh` has given them out."""
+        while len(self._buffer) < len(data):
+            self._buffer.extend(bytes(len(self._buffer)))
+        self._buffer[: len(data)] = data
+        self._start, self._end = 0, len(data)
+        self._passed = self._end if shown else 0
+
+    def peek(self) -> bytes:
+        """What is held, left as it is."""
+        return bytes(self._buffer[self._start : self._end])
+
     def held(self) -> int:
         return self._end - self._start
 
--- a/sailrun/front.py
+++ b/sailrun/front.py
@@ -81,6 +81,8 @@
         self._guests: set[Guest] = set()
         self._accepting = anyio.CancelScope()
         self._open = anyio.CancelScope()
+        self._group: TaskGroup | None = None
+        self._admitted: list[Guest] = []  # before the door was open
         self._shut = anyio.Event()
         self._resumed: anyio.Event | None = None  # set again once households are taken, if they are not now
 
@@ -113,6 +115,9 @@
         """Accepts connections until cancelled or shut, and has each served by a task of its own."""
         with self._open:
             async with anyio.create_task_group() as group:
+                self._group = group
+                for guest in self._admitted:
+                    group.start_soon(self._serve, guest)
                 try:
                     while not self._shut.is_set():
                         with self._accepting:
@@ -130,15 +135,22 @@
     async def _keep_accepting(self, group: TaskGroup) -> None:
         while True:
             try:
-                group.start_soon(self._serve, await accept(self._listener))
+                sock = await accept(self._listener)
+                group.start_soon(self._serve, self._greet(sock))
             except OutOfDescriptors:
                 # Those who knock stay in the listener's queue until others have gone.
                 log("out-of-descriptors", doing="accept")
                 self._waiting.make_room()
                 await anyio.sleep_until(anyio.current_time() + 0.05)
 
-    async def _serve(self, sock: socket.socket) -> None:
-        guest = self._greet(sock)
+    def admit(self, guest: Guest) -> None:
+        """Serves a guest who was let in elsewhere, from now on or once the door is open."""
+        if self._group is None:
+            self._admitted.append(guest)
+        else:
+            self._group.start_soon(self._serve, guest)
+
+    async def _serve(self, guest: Guest) -> None:
         self._guests.add(guest)
         try:
             await guest.run()
--- a/sailrun/lab/virtual.py
+++ b/sailrun/lab/virtual.py
@@ -18,6 +18,7 @@
 from sailrun.lab.terms import SECOND, WorldTerms
 from sailrun.lab.world import GAP_US, RESTART_US, RosterBook, Slot, World
 from sailrun.node.core import Node
+from sailrun.node.passage import Take
 from sailrun.node.session import FormSession, Placement, RosterNews
 from sailrun.rebalance.balance import Elsewhere, Orders, Rebalancer
 from sailrun.rebalance.terms import RebalanceTerms
@@ -91,6 +92,9 @@
     def fail(self) -> None:
         self._answer("failed", 0)
 
+    def part(self, take: Take) -> None:
+        """A virtual node has one process."""
+
     def move(self) -> None:
         if self.server is None:
             return
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -22,7 +22,7 @@
 from sailrun.node.clock import Clock, log
 from sailrun.node.counts import Counts, Figures
 from sailrun.node.leaving import Leaving, Reason
-from sailrun.node.passage import Held, State
+from sailrun.node.passage import Held, State, Take
 from sailrun.node.reply import Reply
 from sailrun.node.session import FormServer, FormSession, Placement, RosterNews, server_number
 from sailrun.node.watch import ServerWatch
@@ -105,6 +105,7 @@
         self.told_from_ms = self._slow_us / 1000 if settings.tells_delay else 0.0
         self._known, self._passed = known, passed
         self._revision = known.revision
+        self._take: Take | None = None  # hands a standing session to the successor
         self._predecessor: Held | None = None  # what the process before this one still holds
         self._others: Others | None = None  # what the other nodes hold, for as long as that is known
         self._others_until_us = self._now
@@ -218,9 +219,15 @@
     def holds(self, reply: Reply[Held]) -> None:
         self._post(lambda: reply(self._held()))
 
-    def succeeded(self, yes: bool) -> None:
-        """A successor takes the households from now on; or is gone, and they are this process's again."""
-        self._post(self._succeeded, yes)
+    def succeeded(self, take: Take | None) -> None:
+        """A successor takes the households from now on, and standing sessions by `take`; None: it is gone,
+        and they are this process's again.
+        """
+        self._post(self._succeeded, take)
+
+    def adopted(self, session: FormSession, placement: Placement) -> None:
+        """A session that stood with the predecessor stands here now."""
+        self._post(self._adopted, session, placement)
 
     def predecessor_holds(self, held: Held | None) -> None:
         """None: it has ended."""
@@ -417,19 +424,10 @@
         if session.unanswered:
             self._talking[number] = watch
         if session.resumed_at is not None:
-            self._feed(
-                i.ConnectionResumed(
-                    session.id,
-                    session.request_class,
-                    number,
-                    session.key,
-                    session.group,
-                    session.tenant,
-                    session.load_hint,
-                )
-            )
+            self._resume(session, number)
         else:
             self._feed(i.ConnectionOpened(session.id, placement.attempt, number, took_us))
+        self._part(session)
         resumed = session.resumed_at is not None
         returned, took = session.returning and not resumed, None if resumed else took_us
         self._aside(lambda rebalancer: self._stands_for(rebalancer, session, number, returned, took))
@@ -711,9 +709,51 @@
         holding = Holding(*self._module.holding())
         return Held(holding.loads, holding.connections, holding.told)
 
-    def _succeeded(self, yes: bool) -> None:
-        if yes:
+    def _adopted(self, session: FormSession, placement: Placement) -> None:
+        number = placement.form_server.number
+        self._sessions[session.id] = session
+        session.placement, session.attempts = placement, placement.attempt + 1
+        session.stands = session.over = session.may_have_run = True
+        watch = self._watches.setdefault(number, ServerWatch())
+        watch.sessions[session.id] = session
+        watch.heard_us = self._now
+        if session.unanswered:
+            self._talking[number] = watch
+        self._resume(session, number)
+        self._aside(lambda rebalancer: self._stands_for(rebalancer, session, number, True, None))
+        known = self._form_servers.get(number)
+        if known is None or self._as_it_takes(known).state is not i.BackendState.READY:
+            self._move(session.id)
+
+    def _resume(self, session: FormSession, number: int) -> None:
+        self._feed(
+            i.ConnectionResumed(
+                session.id,
+                session.request_class,
+                number,
+                session.key,
+                session.group,
+                session.tenant,
+                session.load_hint,
+            )
+        )
+
+    def _part(self, session: FormSession) -> None:
+        """Hands a standing session to the successor, if there is one. Whom a drain sends away, the node's or
+        its form server's, is moved from here: its time is under way.
+        """
+        if self._take is None or session.moving or Reason.DRAIN in self.leaving or session.placement is None:
+            return
+        known = self._form_servers.get(session.placement.form_server.number)
+        if known is not None and self._as_it_takes(known).state is i.BackendState.READY:
+            session.household.part(self._take)
+
+    def _succeeded(self, take: Take | None) -> None:
+        self._take = take
+        if take is not None:
             self._leave(Reason.SUCCEEDED)
+            for session in self._standing():
+                self._part(session)
         elif self.leaving.withdraw(Reason.SUCCEEDED):
             self._log("successor-lost", sessions=len(self._standing()))
 
--- a/sailrun/node/leaving.py
+++ b/sailrun/node/leaving.py
@@ -17,9 +17,9 @@
 # The shares of that time in which the moves begin and end. Whoever is moved while newcomers still come here
 # comes straight back, and has to be moved once more: so none before that is over.
 MOVES_BEGIN, MOVES_END = 0.15, 0.7
-# A successor takes who comes back, so moves begin at once. The platform asks the predecessor to go within
-# 6 s: until then there is time, and then the plan for that counts as well.
-SUCCEEDED_US = 5 * SECOND
+# Standing sessions are handed to a successor as they are: whoever is left after a while is moved. The
+# platform asks the predecessor to go within 6 s: until then there is time, then the plan for that counts too.
+HANDED_US, SUCCEEDED_US = 1 * SECOND, 5 * SECOND
 # The last who are waited for before the process ends.
 LAST_US = SECOND // 5
 
@@ -46,7 +46,7 @@
     longest_us = min(LONGEST_US, longest_us)
     if reason is Reason.SUCCEEDED:
         done_us = now_us + SUCCEEDED_US
-        return Plan(now_us, done_us, now_us + NEWCOMERS_US, done_us + longest_us, False)
+        return Plan(now_us + HANDED_US, done_us, now_us + NEWCOMERS_US, done_us + longest_us, False)
     begin_us, done_us = now_us + int(MOVES_BEGIN * longest_us), now_us + int(MOVES_END * longest_us)
     # After a drain's time a straggler is answered at once: it stays for as long as the drain.
     return Plan(begin_us, done_us, now_us + NEWCOMERS_US, now_us + longest_us, reason is Reason.DRAIN)
--- a/sailrun/node/session.py
+++ b/sailrun/node/session.py
@@ -5,12 +5,15 @@
 from collections import deque
 from dataclasses import dataclass, field
 from functools import lru_cache
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import mmh3
 
 from sailrun.interface import Backend, BackendState, ListKind
 
+if TYPE_CHECKING:
+    from sailrun.node.passage import Take
+
 
 @lru_cache(maxsize=8192)
 def server_number(name: str) -> int:
@@ -69,6 +72,9 @@
     def refuse(self, retry_after_us: int) -> None: ...
     def fail(self) -> None: ...
     def move(self) -> None: ...
+    def part(self, take: Take) -> None:
+        """Hands the session over as it stands, once it is at rest; a front that can't leaves it alone."""
+        ...
 
 
 @dataclass(slots=True, eq=False)
--- a/sailrun/platform/households.py
+++ b/sailrun/platform/households.py
@@ -4,17 +4,20 @@
 
 import contextlib
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
 
 import anyio
+from anyio.abc import TaskGroup
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
 from sailrun.connection import Connection, OutOfDescriptors, Overlong, connect
 from sailrun.front import FrontDoor, WaitingRoom
-from sailrun.interface import Outcome
+from sailrun.interface import BackendState, Outcome
 from sailrun.node.clock import log
 from sailrun.node.core import Node
-from sailrun.node.session import FormSession, Placement
+from sailrun.node.passage import Parcel, Take
+from sailrun.node.session import FormServer, FormSession, Placement
 from sailrun.platform.figures import Figures, Load
 from sailrun.platform.lines import ANSWERS, ENDINGS, BadLine, Opening, load_told, parse_opening, word_of
 
@@ -46,6 +49,10 @@
         # The ids in use. A second connection with one of them would be a second copy of that request.
         self.ids: set[str] = set()
 
+    def adopt(self, content: Any, sockets: Sequence[socket.socket]) -> HouseholdConnection:
+        """A session that a predecessor hands over; raises ValueError for what is none."""
+        return HouseholdConnection.adopted(self, content, sockets)
+
     def door(self, listener: socket.socket) -> FrontDoor:
         def greet(sock: socket.socket) -> HouseholdConnection:
             return HouseholdConnection(self, Connection(sock))
@@ -56,6 +63,8 @@
 class HouseholdConnection:
     """One household's connection. It is the core's `Household`: the orders only leave notes here."""
 
+    _group: TaskGroup
+
     def __init__(self, front: Households, connection: Connection) -> None:
         self._front = front
         self._node = front.node
@@ -75,6 +84,57 @@
         self._answered = self._spoke_too_soon = False
         self._reason = "unknown"
         self._broken = False
+        # Standing sessions only: what hands it to a successor; while it hears the household, and once it no
+        # longer does.
+        self._take: Take | None = None
+        self._listening: anyio.CancelScope | None = None
+        self._deaf = anyio.Event()
+        self._placement: Placement | None = None
+
+    @classmethod
+    def adopted(
+        cls, front: Households, content: Any, sockets: Sequence[socket.socket]
+    ) -> HouseholdConnection:
+        """What `_parcel` wrote, in another process."""
+        try:
+            household, server = sockets
+            opening = parse_opening(content["line"].encode("latin-1"), front.classes)
+            placement = Placement(
+                FormServer(str(content["server"]), ("", 0), BackendState.GONE), int(content["attempt"]), 0
+            )
+            unanswered = [int(sent_us) for sent_us in content["unanswered"]]
+            load = None if content["load"] is None else float(content["load"])
+            held, half_said = content["held"].encode("latin-1"), content["half_said"].encode("latin-1")
+            id_ = str(content["id"])
+        except (KeyError, TypeError, AttributeError, UnicodeError) as error:
+            raise ValueError(f"no session: {error!r}") from None
+        if opening.id in front.ids:
+            raise ValueError("its id is in use")
+        front.ids.add(opening.id)
+        self = cls(front, Connection(household))
+        self._household.restore(held, shown=False)
+        self._form_server = Connection(server)
+        self._form_server.restore(half_said, shown=True)
+        self._opening, self._at, self._load, self._answered = opening, placement.form_server.name, load, True
+        self._placement = placement
+        self._session = self._form_session(opening, id_, 0)
+        self._session.resumed_at = None
+        self._session.unanswered.extend(unanswered)
+        return self
+
+    def _parcel(self, server: Connection) -> Parcel:
+        assert self._opening is not None and self._session is not None and self._placement is not None
+        content = {
+            "line": self._opening.line.decode("latin-1"),
+            "id": self._session.id,
+            "server": self._placement.form_server.name,
+            "attempt": self._placement.attempt,
+            "unanswered": list(self._session.unanswered),
+            "load": self._load,
+            "held": self._household.peek().decode("latin-1"),
+            "half_said": server.peek().decode("latin-1"),
+        }
+        return Parcel(content, (self._household.sock, server.sock))
 
     # ------------------------------------------------------------------ orders of the core
 
@@ -111,6 +171,13 @@
             if self._reading is not None:
                 self._reading.cancel()
 
+    def part(self, take: Take) -> None:
+        if self._form_server is not None and not self._moving_since_us:
+            self._take = take
+            for scope in (self._listening, self._reading):
+                if scope is not None:
+                    scope.cancel()
+
     def standing(self) -> Iterable[Callable[[], None]]:
         return [self.move] if self._form_server is not None and not self._moving_since_us else []
 
@@ -119,11 +186,14 @@
     async def run(self) -> None:
         began_us = self._node.clock.now_us()
         try:
-            if await self._opened(began_us + FIRST_LINE_US):
-                async with anyio.create_task_group() as group:
-                    group.start_soon(self._hear_household)
-                    await self._follow_orders()
-                    group.cancel_scope.cancel()
+            if self._placement is not None or await self._opened(began_us + FIRST_LINE_US):
+                async with anyio.create_task_group() as self._group:
+                    self._group.start_soon(self._hear_household)
+                    if self._placement is not None:
+                        await self._go_on(self._placement)
+                    else:
+                        await self._follow_orders()
+                    self._group.cancel_scope.cancel()
                 if self._spoke_too_soon:
                     await self._turn_away("spoke-too-soon")
         except* Overlong:
@@ -172,10 +242,17 @@
             await self._turn_away("spoke-too-soon")
             return False
         self._front.ids.add(opening.id)
-        self._session = FormSession(
-            id=f"{opening.id}.{now_us}",  # unique here even if a household repeats its id
+        # Unique here even if a household repeats its id.
+        self._session = self._form_session(opening, f"{opening.id}.{now_us}", now_us + opening.wait_ms * 1000)
+        self._reason = "unknown"
+        self._node.ask(self._session)
+        return True
+
+    def _form_session(self, opening: Opening, id_: str, deadline_us: int) -> FormSession:
+        return FormSession(
+            id=id_,
             request_class=opening.request_class,
-            deadline_us=now_us + opening.wait_ms * 1000,
+            deadline_us=deadline_us,
             household=self,
             key=opening.key,
             group=opening.group if self._front.groups else None,
@@ -184,9 +261,6 @@
             returning=opening.returning,
             resumed_at=opening.resumed_at,
         )
-        self._reason = "unknown"
-        self._node.ask(self._session)
-        return True
 
     async def _first_line(self, deadline_us: int) -> bytes | None:
         """The line that asks for something; before it, PING is answered. None if there is none in time."""
@@ -226,7 +300,7 @@
         """Passes on what the household sends, and notices that it leaves."""
         assert self._session is not None
         try:
-            while await self._household.fill():
+            while await self._listen():
                 if self._form_server is not None:
                     await self._pass_to_form_server()
                 elif not self._answered:
@@ -234,11 +308,15 @@
                     # would be a second command on one connection.
                     self._spoke_too_soon = True
                     break
+            if not self._household.ended:  # it was only told to stop listening
+                self._deaf.set()
+                return
             reason = "household-left"
         except Overlong:
             reason = "line-too-long"
         except OSError:
             reason, self._broken = "household-broke", True
+        self._deaf.set()
         if self._reason == "unknown" or self._form_server is not None or self._attempt is not None:
             self._reason = reason
         self._node.left(self._session)
@@ -249,6 +327,15 @@
         self._household.ended = True
         self._orders.close()
 
+    async def _listen(self) -> bool:
+        """Waits for the household to say more; False once it has ended, or the session is handed over."""
+        more = False
+        if self._take is None:
+            with anyio.CancelScope() as self._listening:
+                more = await self._household.fill()
+            self._listening = None
+        return more
+
     async def _pass_to_form_server(self) -> None:
         assert self._session is not None and self._form_server is not None
         data = self._household.take()
@@ -299,19 +386,59 @@
                 server = None
         if server is not None:
             took_us = self._node.clock.now_us() - sent_us
-            self._form_server = server
+            self._form_server, self._placement = server, placement
             self._reason = "unknown"
             self._node.placed(self._session, placement, took_us)
-            try:
-                outcome = await self._stand(server)
-            except OSError:
-                # The household broke while a line was on its way to it. The core must hear of the end all
-                # the same, or it would count the session as standing for ever.
-                self._reason, self._broken = "household-broke", True
-                outcome = Outcome.CANCELLED
-            server.close(abruptly=self._broken)
+            outcome = await self._stand_to_the_end(server)
         return outcome
 
+    async def _go_on(self, placement: Placement) -> None:
+        """A session that stood with the predecessor."""
+        assert self._session is not None and self._form_server is not None
+        self._node.adopted(self._session, placement)
+        log("adopted", id=self._opening.id if self._opening else None, server=self._at)
+        if self._load is not None:
+            self._node.told_load(self._session, self._load)
+        outcome = Outcome.CANCELLED
+        try:
+            outcome = await self._stand_to_the_end(self._form_server)
+        finally:
+            self._node.attempt_over(self._session, placement, outcome)
+
+    async def _stand_to_the_end(self, server: Connection) -> Outcome:
+        try:
+            outcome = await self._stand(server)
+        except OSError:
+            # The household broke while a line was on its way to it. The core must hear of the end all
+            # the same, or it would count the session as standing for ever.
+            self._reason, self._broken = "household-broke", True
+            outcome = Outcome.CANCELLED
+        server.close(abruptly=self._broken)
+        return outcome
+
+    async def _handed_over(self, server: Connection, take: Take) -> bool:
+        """Whether the successor has the session now. Meanwhile nothing is read here; what was, is told."""
+        # A move, or the household's end, does not wait for a line that can't go out.
+        with anyio.CancelScope() as self._reading:
+            await self._deaf.wait()
+        self._reading = None
+        if self._moving_since_us or self._household.ended or not self._deaf.is_set():
+            self._take = None
+            if self._deaf.is_set() and not self._household.ended:
+                self._hear_again()
+            return False
+        parcel = self._parcel(server)
+        take(parcel)
+        await parcel.settled.wait()
+        self._take = None
+        if not parcel.gone:
+            self._hear_again()
+        return parcel.gone
+
+    def _hear_again(self) -> None:
+        self._deaf = anyio.Event()
+        self._group.start_soon(self._hear_household)
+
     async def _set_up(self, placement: Placement, sent_us: int) -> tuple[Connection | None, Outcome]:
         """Opens a connection to the form server and asks for the session. Every way out but a form server
         that answers UP leaves the connection closed.
@@ -376,6 +503,9 @@
                 return Outcome.CANCELLED
             if self._household.ended:
                 return Outcome.CANCELLED
+            if (take := self._take) is not None and await self._handed_over(server, take):
+                self._reason = "handed-over"
+                return Outcome.CANCELLED
             scope = anyio.CancelScope()
             if self._moving_since_us:
                 scope.deadline = self._node.clock.moment(half_said_us)
--- a/sailrun/serve.py
+++ b/sailrun/serve.py
@@ -4,9 +4,9 @@
 
 import signal
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import fields
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
@@ -140,6 +140,13 @@
     def _fronts(self) -> list[tuple[str, FrontDoor]]:
         return [(key, door) for key, door in self._open_doors.items() if isinstance(door, FrontDoor)]
 
+    def _adopt(self, content: Any, sockets: Sequence[socket.socket]) -> None:
+        """Goes on with a session that stood with the predecessor; raises ValueError where that can't be."""
+        door = self._open_doors.get("listen")
+        if not isinstance(door, FrontDoor):
+            raise ValueError("households are not served here any more")
+        door.admit(self._households.adopt(content, sockets))
+
     def _pause(self, yes: bool) -> None:
         """Leaves newcomers and datagrams to the successor, which shares the sockets; or takes them again."""
         for _, door in self._fronts():
@@ -179,6 +186,7 @@
                 self._shared,
                 self._pause,
                 self._inherited,
+                self._adopt,
             )
             group.start_soon(handover.run)
 
--- a/sailrun/succession/handover.py
+++ b/sailrun/succession/handover.py
@@ -6,21 +6,21 @@
 import resource
 import socket
 import time
-from collections.abc import Callable, Mapping
+from collections import deque
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
-from functools import partial
 from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
 
-from sailrun.connection import Connection, Overlong, show_address
+from sailrun.connection import Overlong, show_address
 from sailrun.node.clock import log
 from sailrun.node.core import Node
 from sailrun.node.leaving import Reason
-from sailrun.node.passage import State
+from sailrun.node.passage import Parcel, State
 from sailrun.node.reply import answer_to
-from sailrun.succession.link import MOST_SOCKETS, Doorstep, as_connection, hand, is_ours, knock, receive
+from sailrun.succession.link import MOST_SOCKETS, Doorstep, Link, hand, is_ours, knock, receive
 from sailrun.succession.rules import Succession
 from sailrun.succession.state import (
     BadPassage,
@@ -40,6 +40,8 @@
 TELL_US = SECOND // 4
 # Whoever knocks and does not say what it wants has so long.
 KNOCK_US = 2 * SECOND
+# So many sessions at once are on their way to the successor: until it has them, both have their descriptors.
+WINDOW = 8
 # A successor keeps at least so many descriptors, whatever its predecessor has open.
 LEAST_DESCRIPTORS = 64
 
@@ -48,7 +50,7 @@
 class Inherited:
     """What a predecessor handed over."""
 
-    link: Connection
+    link: Link
     state: State | None  # None: what came was not usable
     sockets: dict[str, socket.socket] = field(default_factory=dict)
 
@@ -92,7 +94,7 @@
             log("passage-dropped", why=str(error))
         if len(named) != len(sockets):
             named = [f"unknown {n}" for n in range(len(sockets))]
-        return Inherited(as_connection(sock), state, dict(zip(named, sockets, strict=True)))
+        return Inherited(Link(sock), state, dict(zip(named, sockets, strict=True)))
     return None
 
 
@@ -107,15 +109,17 @@
         sockets: Callable[[], Mapping[str, socket.socket]],
         pause: Callable[[bool], None],
         inherited: Inherited | None,
+        adopt: Callable[[Any, Sequence[socket.socket]], None],
     ) -> None:
         """`name`: what the node keeps when its process is replaced; `sockets`: those that a successor is
-        handed, by key; `pause`: leaves what comes in at them to it, or takes it again.
+        handed, by key; `pause`: leaves what comes in at them to it, or takes it again;
+        `adopt`: goes on with a standing session, or raises ValueError.
         """
         self._node, self._name, self._descriptors = node, name, descriptors
-        self._sockets, self._pause, self._inherited = sockets, pause, inherited
+        self._sockets, self._pause, self._inherited, self._adopt = sockets, pause, inherited, adopt
         self._rules = Succession()
-        self._links: dict[Connection, anyio.Event] = {}  # set when there is something to write
-        self._outboxes: dict[Connection, list[bytes]] = {}
+        self._talks: dict[Link, _Talk] = {}
+        self._theirs = 0  # descriptors that the predecessor has open, as far as told
         node.on_staff = self._staff_said
 
     async def run(self) -> None:
@@ -144,47 +148,37 @@
     # ------------------------------------------------------------------ lines between the two
 
     def _staff_said(self, kind: str, content: Any) -> None:
-        for link in self._links:
-            self._say(link, kind, content)
+        for talk in self._talks.values():
+            talk.say(kind, content)
 
-    def _say(self, link: Connection, kind: str, content: Any) -> None:
-        if link in self._links:
-            self._outboxes[link].append(pack(kind, content))
-            self._links[link].set()
-
-    async def _write(self, link: Connection) -> None:
-        while True:
-            await self._links[link].wait()
-            self._links[link] = anyio.Event()
-            lines, self._outboxes[link] = self._outboxes[link], []
-            await link.write(b"".join(lines))
-
-    async def _converse(self, link: Connection, hear: Callable[[str, Any, TaskGroup], None]) -> None:
+    async def _converse(self, link: Link, hear: Callable[[_Talk, str, Any, TaskGroup], None]) -> None:
         """Writes what there is to say and hears the other process, until it has ended."""
-        self._links[link], self._outboxes[link] = anyio.Event(), []
+        talk = self._talks[link] = _Talk(link)
         try:
             async with anyio.create_task_group() as group:
-                group.start_soon(self._write, link)
+                group.start_soon(talk.write)
                 while (line := await _line(link)) is not None:
                     kind, content = unpack(line)
-                    hear(kind, content, group)
+                    hear(talk, kind, content, group)
                 group.cancel_scope.cancel()
         except* (OSError, Overlong):
             pass  # it has ended
         except* BadPassage as broken:
             log("passage-dropped", why=str(broken.exceptions[0]))
         finally:
-            del self._links[link], self._outboxes[link]
-            link.close()
+            del self._talks[link]
+            talk.close()
 
     # ------------------------------------------------------------------ as the successor
 
     async def _follow(self, inherited: Inherited) -> None:
-        def hear(kind: str, content: Any, group: TaskGroup) -> None:
+        def hear(talk: _Talk, kind: str, content: Any, group: TaskGroup) -> None:
             if kind == "held":
                 held = read_held(content)
                 self._leave_descriptors(held.descriptors)
                 self._node.predecessor_holds(held)
+            elif kind == "session":
+                self._receive(talk, content)
             else:
                 self._node.staff_said_elsewhere(kind, content)
 
@@ -198,15 +192,32 @@
             self._node.predecessor_holds(None)
         log("predecessor-ended")
 
+    def _receive(self, talk: _Talk, content: Any) -> None:
+        """A standing session: it is this process's once it is said to be."""
+        sockets = talk.link.take_sockets()
+        try:
+            self._adopt(content["session"], sockets)
+        except (ValueError, KeyError, TypeError) as error:
+            for sock in sockets:
+                sock.close()
+            log("session-not-taken", why=str(error))
+            talk.say("refused", content["number"])
+            return
+        self._leave_descriptors(self._theirs - len(sockets))
+        talk.say("adopted", content["number"])
+
     def _leave_descriptors(self, count: int) -> None:
-        """Together the two hold no more than one node may."""
+        """Together the two hold no more than one node may, but for the sessions on their way."""
+        self._theirs = max(0, count)
+        most = self._descriptors - self._theirs + (3 * WINDOW if self._theirs else 0)
         hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-        resource.setrlimit(resource.RLIMIT_NOFILE, (max(LEAST_DESCRIPTORS, self._descriptors - count), hard))
+        allowed = min(self._descriptors, max(LEAST_DESCRIPTORS, most))
+        resource.setrlimit(resource.RLIMIT_NOFILE, (allowed, hard))
 
     # ------------------------------------------------------------------ as who is succeeded
 
     async def _meet(self, sock: socket.socket) -> None:
-        link, clock = as_connection(sock), self._node.clock
+        link, clock = Link(sock), self._node.clock
         asked = False
         with anyio.CancelScope(deadline=clock.moment(clock.now_us() + KNOCK_US)):
             try:
@@ -223,39 +234,91 @@
             content = {"sockets": list(sockets), "state": write_state(state)}
             await hand(link, pack("state", content), list(sockets.values()))
             log("handed-over", sockets=",".join(f"{k}={_shown(s)}" for k, s in sockets.items()))
-            await self._converse(link, partial(self._hear_successor, link))
+            await self._converse(link, self._hear_successor)
         except OSError as error:
             log("successor-unreached", error=str(error))
             link.close()
         finally:
             if self._rules.lost(Reason.RESTART in self._node.leaving):
-                self._node.succeeded(False)
+                self._node.succeeded(None)
                 self._pause(False)
 
-    def _hear_successor(self, link: Connection, kind: str, content: Any, group: TaskGroup) -> None:
-        if kind != "took":
+    def _hear_successor(self, talk: _Talk, kind: str, content: Any, group: TaskGroup) -> None:
+        if kind in ("adopted", "refused"):
+            talk.settle(content, kind == "adopted")
+        elif kind != "took":
             self._node.staff_said_elsewhere(kind, content)
         elif self._rules.took():
             self._pause(True)
-            self._node.succeeded(True)
-            group.start_soon(self._tell, link)
+            self._node.succeeded(talk.send)
+            group.start_soon(self._tell, talk)
 
-    async def _tell(self, link: Connection) -> None:
+    async def _tell(self, talk: _Talk) -> None:
         clock = self._node.clock
         next_us = clock.now_us()
         while True:
             held = await answer_to(self._node.holds)
             descriptors = len(os.listdir("/proc/self/fd"))
-            self._say(link, "held", write_held(replace(held, descriptors=descriptors)))
+            talk.say("held", write_held(replace(held, descriptors=descriptors)))
             next_us += TELL_US
             await anyio.sleep_until(clock.moment(next_us))
 
 
+class _Talk:
+    """What is to be said to the other process, and the sessions on their way to it."""
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+        self._lines: list[bytes] = []
+        self._parcels: deque[Parcel] = deque()
+        self._under_way: dict[int, Parcel] = {}
+        self._number = 0
+        self._news = anyio.Event()
+        self._over = False
+
+    def say(self, kind: str, content: Any) -> None:
+        self._lines.append(pack(kind, content))
+        self._news.set()
+
+    def send(self, parcel: Parcel) -> None:
+        """A session; it is settled once the other process has said whether it took it, or has ended."""
+        if self._over:
+            parcel.settle(False)
+            return
+        self._parcels.append(parcel)
+        self._news.set()
+
+    def settle(self, number: Any, gone: bool) -> None:
+        parcel = self._under_way.pop(number, None) if isinstance(number, int) else None
+        if parcel is not None:
+            parcel.settle(gone)
+            self._news.set()
+
+    async def write(self) -> None:
+        while True:
+            await self._news.wait()
+            self._news = anyio.Event()
+            lines, self._lines = self._lines, []
+            await self.link.write(b"".join(lines))
+            while self._parcels and len(self._under_way) < WINDOW:
+                parcel = self._parcels.popleft()
+                self._number += 1
+                self._under_way[self._number] = parcel
+                line = pack("session", {"number": self._number, "session": parcel.content})
+                await hand(self.link, line, parcel.sockets)
+
+    def close(self) -> None:
+        self._over = True
+        for parcel in (*self._under_way.values(), *self._parcels):
+            parcel.settle(False)
+        self.link.close()
+
+
 def _shown(sock: socket.socket) -> str:
     return show_address(sock.getsockname()[:2])
 
 
-async def _line(link: Connection) -> bytes | None:
+async def _line(link: Link) -> bytes | None:
     while (line := link.take_line()) is None:
         if not await link.fill():
             return None
--- a/sailrun/succession/link.py
+++ b/sailrun/succession/link.py
@@ -13,8 +13,10 @@
 import struct
 import tempfile
 import time
+from collections import deque
 from collections.abc import Iterator, Sequence
 
+import anyio
 import mmh3
 
 from sailrun.connection import Connection
@@ -22,6 +24,7 @@
 
 # A listener for households, one for AMQP, one for datagrams.
 MOST_SOCKETS = 8
+ROOM = socket.CMSG_SPACE(MOST_SOCKETS * array.array("i").itemsize)
 
 
 def place(name: str) -> tuple[str, str]:
@@ -95,15 +98,43 @@
     return _user_of(sock) == os.getuid()
 
 
-def as_connection(sock: socket.socket) -> Connection:
-    return Connection(sock, LONGEST)
+class Link(Connection):
+    """The connection between the two, with the sockets that came along."""
 
+    __slots__ = ("_sets",)
 
-async def hand(connection: Connection, line: bytes, sockets: Sequence[socket.socket]) -> None:
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__(sock, LONGEST)
+        # One set for each message that brought sockets, in their order; short if there was no room for all.
+        self._sets: deque[list[socket.socket]] = deque()
+
+    def _receive(self, room: memoryview) -> int:
+        count, rights, flags, _ = self.sock.recvmsg_into([room], ROOM)
+        if rights or flags & socket.MSG_CTRUNC:
+            self._sets.append(_received(rights))
+        return count
+
+    def take_sockets(self) -> list[socket.socket]:
+        """Those that came with the oldest line that brought any."""
+        return self._sets.popleft() if self._sets else []
+
+    def close(self, abruptly: bool = False) -> None:
+        while self._sets:
+            for sock in self._sets.popleft():
+                sock.close()
+        super().close(abruptly)
+
+
+async def hand(link: Link, line: bytes, sockets: Sequence[socket.socket]) -> None:
     """Sends a line, and with its first byte the sockets."""
     rights = array.array("i", [s.fileno() for s in sockets])
-    connection.sock.sendmsg([line[:1]], [(socket.SOL_SOCKET, socket.SCM_RIGHTS, rights)] if sockets else [])
-    await connection.write(line[1:])
+    while True:
+        try:
+            link.sock.sendmsg([line[:1]], [(socket.SOL_SOCKET, socket.SCM_RIGHTS, rights)])
+            break
+        except BlockingIOError:
+            await anyio.wait_writable(link.sock)
+    await link.write(line[1:])
 
 
 def receive(sock: socket.socket, deadline: float) -> tuple[bytes, list[socket.socket]]:
@@ -123,8 +154,7 @@
             if line:
                 data = sock.recv(65536)
             else:
-                size = socket.CMSG_SPACE(MOST_SOCKETS * array.array("i").itemsize)
-                data, rights, _, _ = sock.recvmsg(1, size)
+                data, rights, _, _ = sock.recvmsg(1, ROOM)
                 sockets = _received(rights)
             if not data:
                 raise ConnectionResetError("ended")
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -90,6 +90,60 @@
     assert first.figures()["calls.page-load.failure"] == 0
 
 
+def test_standing_sessions_go_on_as_they_are(tier: Tier, servers: list[FormServer]) -> None:
+    first = tier.start()
+    households = []
+    for n in range(60):
+        household = first.ask(f"{n:016x}", group=f"{n:016x}")
+        assert household.hear() == "UP r1"
+        households.append(household)
+    households[0].sock.sendall(b"half a ")  # one is in the middle of its line, one of its form server's
+    at, peer = next((s, s.peers[0]) for s in servers if s.peers)
+    peer.sock.sendall(b"LOAD 81")
+    second = tier.start()
+    for n in range(60):
+        second.logged("adopted", f"id={n:016x}")
+    first.terminate()
+    assert first.process.wait(PATIENCE_S) == 0
+    peer.sock.sendall(b"2.5\r\n")
+    households[0].sock.sendall(b"page\r\n")
+    told = 0
+    for n, household in enumerate(households):
+        if n:
+            household.say(f"page {n}")
+        heard = household.hear()
+        if heard == "LOAD 812.5":
+            told, heard = told + 1, household.hear()
+        assert heard == (f"page {n}" if n else "half a page")
+    assert told == 1 and at.ends.empty()
+    figures = second.figures()
+    assert figures["inflight"] == 60 and figures["calls.page-load.success"] == 0
+    for household in households:
+        household.close()
+    second.until("inflight", 0)
+    assert "moved" not in "".join(first.lines + second.lines)
+
+
+def test_a_successor_that_dies_with_sessions_leaves_those_it_has_not(tier: Tier) -> None:
+    first = tier.start()
+    households = []
+    for n in range(30):
+        households.append(first.ask(f"{n:016x}", group=f"{n:016x}"))
+        assert households[-1].hear() == "UP r1"
+    second = tier.start()
+    second.logged("adopted")
+    second.process.kill()
+    first.logged("successor-lost")
+    alive = 0
+    for household in households:
+        try:
+            household.say("page 3")
+            alive += household.hear() == "page 3"
+        except OSError:
+            pass  # it was the successor's by then
+    assert alive == int(first.until("inflight", alive)["inflight"])
+
+
 def test_what_one_process_knows_the_next_one_knows(tier: Tier, servers: list[FormServer]) -> None:
     first = tier.start()
     assert first.call(f"set-down {servers[0].name}") == "ok"
