Answer a household that speaks too soon once again; its listening had been taken for told to stop

Seen: the test of a second command heard ERR twice. The line at fault: the early return where the household had not ended, which the break for a second command reaches too.

--- a/sailrun/platform/households.py
+++ b/sailrun/platform/households.py
@@ -308,7 +308,7 @@
                     # would be a second command on one connection.
                     self._spoke_too_soon = True
                     break
-            if not self._household.ended:  # it was only told to stop listening
+            if not self._household.ended and not self._spoke_too_soon:  # only told to stop listening
                 self._deaf.set()
                 return
             reason = "household-left"
