--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -487,7 +487,7 @@
     def _lower(self, server: _Server) -> None:
         """A crowded backend's limit: without it the same groups flood back once it is no longer crowded."""
         if self._now - server.limit_us >= LIMIT_US:
-            server.limit = LIMIT_CUT * min(server.limit, server.held())
+            server.limit = LIMIT_CUT * max(min(server.limit, server.held()), self._fair(server) / 2)
             server.limit_us = self._now
 
     def _unit(self) -> float:
@@ -512,7 +512,8 @@
 
     def _recount(self) -> None:
         self._recount_us = self._now + PUMP_US  # those that warm up have more by then
-        self._capacity = sum(s.capacity * self._share(s) for s in self._ready if s.ejected_until <= self._now)
+        works = (s for s in self._ready if s.open or s.ejected_until <= self._now)  # its load counts too
+        self._capacity = sum(s.capacity * self._share(s) for s in works)
 
     def _paced(self, request: _Request) -> bool:
         """Congestion control. Acts after backends answer set-ups with errors, as before a shared store that
@@ -572,8 +573,7 @@
 
     def _chill(self, server: _Server, since_us: int) -> None:
         server.cold_from_us, server.token_us = since_us, self._now
-        # relays fill their buckets from different levels, or they would all send in the same moment
-        server.tokens = self._random.random()
+        server.tokens = self._random.random()  # at one level, relays would all send in the same moment
 
     # ------------------------------------------------------------------ attempts
 
@@ -594,12 +594,11 @@
         """Set-ups queue behind the same work as messages: what one takes beyond the usual, a message waits
         there too. What is moved off only comes to better where another backend is not crowded."""
         self._took.append(took_us)
-        usual_us = sorted(self._took)[len(self._took) // 4]
-        late_ms = max(0, took_us - usual_us) / 1000
+        late_ms = max(0, took_us - sorted(self._took)[len(self._took) // 4]) / 1000
         known_ms = server.late_ms if self._now - server.late_us < NOTE_US else 0.0
         server.late_ms, server.late_us = (known_ms + late_ms) / 2, self._now
-        told = self._now - server.delay_us < SECOND
-        if server.late_ms <= self._aim_ms / 2 or told or len(self._took) < FEW_TOOK:
+        soon = self._now - server.delay_us < SECOND or len(self._took) < FEW_TOOK
+        if soon or server.late_ms <= self._aim_ms / 2:
             return
         room, server.delay_us = self._room(server), self._now
         server.delay_ms = server.late_ms if room else min(server.late_ms, 0.9 * self._aim_ms)
@@ -637,7 +636,8 @@
                 slow = self._setup_us > SLOW * request.cls.objective_us
                 if self._succeeding < (0.7 if slow else 0.3):
                     self._slow_down()
-            if event.outcome is i.Outcome.ERROR and not server.trial:
+            elsewhere = any(s.errors for s in self._ready if s is not server)
+            if event.outcome is i.Outcome.ERROR and not server.trial and elsewhere:  # a store that all share?
                 wait_us = ERROR_WAIT_US << min(request.attempts - 1, 3)
                 request.not_before_us = self._now + int(wait_us * (0.5 + self._random.random()))
             self._place(request)
