Test the counts over any order of events; drop what was written twice or read by nobody

Two test modules had the same fixture; the laboratory had its own copy of how often a predecessor tells; nothing read Succession.accepts or ok's text.

--- a/sailrun/control/calls.py
+++ b/sailrun/control/calls.py
@@ -53,8 +53,7 @@
     return Call(verb, words[1] if wanted == 2 else "")
 
 
-def ok(text: str = "") -> bytes:
-    return f"ok {text}".rstrip().encode() + b"\r\n"
+OK = b"ok\r\n"
 
 
 def fail(why: str) -> bytes:
--- a/sailrun/control/desk.py
+++ b/sailrun/control/desk.py
@@ -12,7 +12,7 @@
 from anyio.abc import TaskGroup
 
 from sailrun.connection import Connection, Overlong
-from sailrun.control.calls import LONGEST_CALL, BadCall, Call, Verb, fail, ok, parse_call, show
+from sailrun.control.calls import LONGEST_CALL, OK, BadCall, Call, Verb, fail, parse_call, show
 from sailrun.node.core import Node
 from sailrun.node.reply import answer_to
 
@@ -128,11 +128,11 @@
             case Verb.VARS:
                 return show(await answer_to(node.figures))
             case Verb.CHECK:
-                return ok() if await answer_to(node.takes_households) else fail("takes no households")
+                return OK if await answer_to(node.takes_households) else fail("takes no households")
             case Verb.SET_DOWN | Verb.SET_UP:
                 out = call.verb is Verb.SET_DOWN
                 known = await answer_to(partial(node.by_hand, call.form_server, out))
-                return ok() if known else fail(f"no form server '{call.form_server[:80]}'")
+                return OK if known else fail(f"no form server '{call.form_server[:80]}'")
             case Verb.DRAIN_ON | Verb.DRAIN_OFF:
                 await answer_to(partial(node.drain, call.verb is Verb.DRAIN_ON))
-                return ok()
+                return OK
--- a/sailrun/lab/virtual.py
+++ b/sailrun/lab/virtual.py
@@ -24,14 +24,13 @@
 from sailrun.node.session import FormSession, Placement, RosterNews
 from sailrun.rebalance.balance import Elsewhere, Orders, Rebalancer
 from sailrun.rebalance.terms import RebalanceTerms
+from sailrun.succession.handover import TELL_US
 
 ADMITTED_US = (300_000, 900_000)
 # A client's lines come every so often; at slow form servers the nodes' own are timed, one a second.
 LINE_US = 2 * SECOND
 # What a session from before the day may take to stand.
 RESUME_US = 40 * SECOND
-# How often a process tells its successor what it still holds.
-TELL_US = SECOND // 4
 KEPT_LOGS = ("rebalance", "silent", "decision", "fault", "leaving")
 
 
--- a/sailrun/succession/rules.py
+++ b/sailrun/succession/rules.py
@@ -19,10 +19,6 @@
     def __init__(self) -> None:
         self.role = Role.ALONE
 
-    @property
-    def accepts(self) -> bool:
-        return self.role is not Role.SUCCEEDED
-
     def asked(self) -> bool:
         """A process asks to succeed this one; whether it is handed what it needs."""
         if self.role is not Role.ALONE:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -23,14 +23,6 @@
 SECOND = 1_000_000
 
 
-@pytest.fixture
-def servers() -> Iterator[list[FormServer]]:
-    servers = [FormServer("s-5be2a07c"), FormServer("s-00000002")]
-    yield servers
-    for server in servers:
-        server.stop()
-
-
 @pytest.fixture
 def running(tmp_path: Path, servers: list[FormServer]) -> Iterator[RunningNode]:
     roster = Roster([s.entry() for s in servers])
--- /dev/null
+++ b/tests/test_counts.py
@@ -0,0 +1,87 @@
+"""The core's counts, over any order of what fronts may tell it."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sailrun.config import read_settings
+from sailrun.interface import BackendState, ListKind, Outcome
+from sailrun.lab.scheduler import BEGIN_US, Scheduler, VirtualClock
+from sailrun.node.core import Node
+from sailrun.node.counts import Figures
+from sailrun.node.passage import Take
+from sailrun.node.session import FormServer, FormSession, Placement, RosterNews
+from tests.stand_ins import SETTINGS
+
+SERVERS = tuple(FormServer(f"s-0000000{n}", ("", 0), BackendState.READY) for n in range(3))
+
+
+class Front:
+    """One household, which counts the answers that it is given."""
+
+    def __init__(self, name: str) -> None:
+        self.session = FormSession(name, "page-load", BEGIN_US + 60_000_000, self, key=name)
+        self.placement: Placement | None = None
+        self.answers: list[str] = []
+        self.ended = False
+
+    def place(self, placement: Placement) -> None:
+        self.placement = placement
+
+    def withdraw(self, attempt: int) -> None: ...
+    def move(self) -> None: ...
+    def part(self, take: Take) -> None: ...
+
+    def refuse(self, retry_after_us: int) -> None:
+        self.answers.append("busy")
+
+    def fail(self) -> None:
+        self.answers.append("failure")
+
+
+STEPS = st.lists(st.tuples(st.sampled_from(["ask", "up", "left", *Outcome]), st.integers(0, 9)), max_size=60)
+
+
+@given(STEPS)
+def test_calls_ended_and_in_flight_add_up_to_those_taken(steps: list[tuple[str | Outcome, int]]) -> None:
+    time = Scheduler()
+    known = RosterNews(ListKind.CACHED, 1, SERVERS)
+    node = Node(read_settings(SETTINGS), 1, VirtualClock(time), known, lambda what, **facts: None)
+    node.start()
+    fronts: list[Front] = []
+    left = 0
+    for count, (step, which) in enumerate(steps):
+        if step == "ask":
+            fronts.append(Front(f"r{count}"))
+            node.ask(fronts[-1].session)
+        elif fronts:
+            front = fronts[which % len(fronts)]
+            placement, session = front.placement, front.session
+            if step == "left" and not front.ended and not session.over:
+                left, front.ended = left + 1, True
+                node.left(session)
+                if placement is not None:
+                    node.attempt_over(session, placement, Outcome.CANCELLED)
+            elif step == "up" and placement is not None and not session.over:
+                front.answers.append("success")
+                node.placed(session, placement, 1000)
+            elif isinstance(step, Outcome) and placement is not None and (session.stands or not session.over):
+                front.placement = None
+                if step is Outcome.OK and not session.stands:
+                    front.answers.append("success")
+                node.attempt_over(session, placement, step)
+        time.run(time.now_us + 10_000)
+        node.turn(time.now_us)
+    told: list[Figures] = []
+    node.figures(told.append)
+    node.turn(time.now_us)
+    counted = told[0].classes["page-load"]
+    answers = [answer for front in fronts for answer in front.answers]
+    assert all(len(front.answers) <= 1 for front in fronts)
+    for name in ("success", "busy", "failure"):
+        assert getattr(counted, name) == answers.count(name)
+    waiting = sum(not front.answers and not front.ended for front in fronts)
+    standing = sum(front.session.stands for front in fronts)
+    assert told[0].inflight == waiting + standing
+    assert len(answers) + left + waiting == len(fronts)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -27,14 +27,6 @@
 from tests.stand_ins import PATIENCE_S, FormServer, Peer, Roster, RunningNode, free_port, node
 
 
-@pytest.fixture
-def servers() -> Iterator[list[FormServer]]:
-    servers = [FormServer("s-5be2a07c"), FormServer("s-00000002")]
-    yield servers
-    for server in servers:
-        server.stop()
-
-
 class Tier:
     """Processes of one node, one after another, in one folder."""
 
@@ -282,4 +274,4 @@
             case "lost-ending" if handed:
                 assert rules.lost(True) is False
                 return  # it ends without its successor
-        assert rules.accepts is not taken
+        assert (rules.role is Role.SUCCEEDED) is taken
