Have the test of counts reach refusals, which it had not

Now form servers are taken out by hand among the steps; counting a refusal, or a failure, twice fails it (both tried).

--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -40,7 +40,9 @@
         self.answers.append("failure")
 
 
-STEPS = st.lists(st.tuples(st.sampled_from(["ask", "up", "left", *Outcome]), st.integers(0, 9)), max_size=60)
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["ask", "up", "left", "out", "back", *Outcome]), st.integers(0, 9)), max_size=60
+)
 
 
 @given(STEPS)
@@ -55,6 +57,9 @@
         if step == "ask":
             fronts.append(Front(f"r{count}"))
             node.ask(fronts[-1].session)
+        elif step in ("out", "back"):  # with none left to take it, whoever asks is refused
+            for server in SERVERS:
+                node.by_hand(server.name, step == "out", lambda known: None)
         elif fronts:
             front = fronts[which % len(fronts)]
             placement, session = front.placement, front.session
