Tell the whole fleet's loads every two seconds, and count what all nodes do in between

Followed by form server, second by second, through the logs of all 190 to 210 nodes: every node saw the same few form servers light in a sum that was up to 9.5 s old, and sent to them what each thought was one session; who had broken there told nobody, since one break at each of 30 nodes is a lone reset.

Not at fault: refused connects (the lists of nodes just started; each costs a millisecond).

At fault: Rounds' NODE_US (rounds of 9.5 s at 190 nodes), room for 55 form servers with the rest taken for empty (Rounds._others, Balancer._heard), Balancer._bounded, which saw nothing of what others send between two sums, and Balancer._slots with _warm_enough, whose slots lapse at a node that sees one session in two seconds.

Change: sailrun/fleet/known.py keeps what is known of the tier, by form server and by age: nodes missing from a sum keep their part for a while, what is unnamed is taken for a usual one, ages fade without a cliff. The datagrams name 91 form servers at 200 nodes in a Rice code; a sum that can't name all takes those named longest ago. Nodes just started ask for the latest sum. Rounds of 2 s up to 200 nodes. In decide.py: what this node has placed since the sum counts for every node (_rush), broken connections warn the others, cold form servers get more slots the more they miss, up to 1.6 times their sure share while the sum is fresh. The copying of what was learned went to recollection.py; OthersHold.until_us now says until when a sum is fresh, the fleet fades it itself.

--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -15,6 +15,7 @@
 import mmh3
 
 from sailrun import interface as i
+from sailrun import recollection
 from sailrun.validate import check_settings
 
 SERVER_SEED, KEY_SEED = 165233, 845219
@@ -36,7 +37,7 @@
 # What a set-up usually takes: the lower quarter of so many latest ones, once there are a few.
 LATEST_TOOK, FEW_TOOK = 64, 8
 # Bounded loads: the multiple of the fair share, its roots, connections; more slots while others are heard.
-BOUND, BOUND_ROOT, BOUND_MORE, SLOTS_HEARD = 1.15, 1.0, 1.0, 3.0
+BOUND, BOUND_ROOT, BOUND_MORE, SLOTS_HEARD, BOLD = 1.15, 1.0, 1.0, 8.0, 1.6
 # A crowded backend's limit: at most one cut in so long, to this share; its growth a second.
 LIMIT_US, LIMIT_CUT, LIMIT_GROWTH = 900_000, 0.85, 0.1
 # From this multiple of the shortest aim on, this share moves a second; at a drain, all by this of the grace.
@@ -47,7 +48,6 @@
 # many in a row, at a few backends only, are theirs; the first wait after one, doubled at each further one.
 SLOW, ERRORS, ERROR_WAIT_US = 0.25, 3, 200_000
 PATIENCE = 8.0  # an attempt is given up after the objective or so many times what set-ups take, if longer
-NOBODY = i.OthersHold({}, 0, False, 1, frozenset(), 1 << 62)
 NEVER_RAN = (i.Outcome.REJECTED, i.Outcome.CONNECT_FAILED, i.Outcome.NOT_SENT)
 
 
@@ -130,20 +130,20 @@
         self._groups: dict[int, float] = {}  # this relay's load by the key that decides
         self._class_load: dict[str, tuple[float, int]] = {}  # mean told load and notes it rests on
         self._list_failures, self._recount_us, self._alert_until_us = 0, now_us, now_us
-        self._others, self._others_count, self._relays, self._others_until_us = 0.0, 0, 1, now_us
+        self._others, self._others_count, self._relays = 0.0, 0, 1
+        # Until when the sum is fresh; load placed since it; capacity of those that it may go to.
+        self._fresh_until_us, self._since, self._open = now_us, 0.0, 0.0
         self._out: list[i.Action] = []
         self._handlers: dict[type, Callable[..., None]] = {
             i.RequestArrived: self._arrived, i.ConnectionOpened: self._stands, i.AttemptEnded: self._ended,
             i.AttemptNotice: self._notice, i.ListUpdate: self._listed, i.TimerFired: self._timer,
             i.ClientLeft: self._left, i.ConnectionResumed: self._resumed, i.OthersHold: self._heard,
-            i.ByHand: self._by_hand, i.Recalled: self._recalled,
+            i.ByHand: self._by_hand, i.Recalled: lambda event: recollection.recall(self, event),
         }  # fmt: skip
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
         """Takes one event; returns what to do, in order."""
         self._now, self._out = max(self._now, now_us), []
-        if self._now >= self._others_until_us:
-            self._heard(NOBODY)
         if (handler := self._handlers.get(type(event))) is not None:
             handler(event)
         return self._out
@@ -168,7 +168,8 @@
 
     def holding(self) -> tuple[dict[int, float], int, bool, frozenset[int], bool]:
         """What others are to know: loads, connections, whether loads were told, who is late, any alert."""
-        late = [s.id for s in self._ready if s.ejected_until > self._now or self._crowded(s, MOVE_AT)]
+        late = [s.id for s in self._ready if s.ejected_until > self._now or self._crowded(s, MOVE_AT)
+                or self._now - s.resets_us < BURST_US]  # fmt: skip
         loads, alert = {s.id: s.load for s in self._ready}, bool(late) or self._now < self._alert_until_us
         return loads, self._count, bool(self._class_load), frozenset(late), alert
 
@@ -181,7 +182,9 @@
             server.others = event.loads.get(server.id, 0.0)
             server.warned_us = event.until_us if server.id in event.warned else 0
         self._others, self._others_count = sum(event.loads.values()), event.connections
-        self._relays, self._others_until_us = event.instances, event.until_us
+        self._relays = event.instances
+        if event.until_us != self._fresh_until_us:
+            self._fresh_until_us, self._since = event.until_us, 0.0
 
     # ------------------------------------------------------------------ the backend list
 
@@ -241,22 +244,6 @@
         shut = (s for s in self._servers.values() if s.id in self._hand or s.ejected_until > now_us)
         return [s.id for s in shut if s.listed is not i.BackendState.GONE]
 
-    def learned(self) -> i.Recalled:
-        """What a successor is to know, less what stands here and how the list is."""
-        backends = tuple(i.Learned(*(getattr(s, name) for name in i.LEARNED)) for s in self._servers.values())
-        pace = tuple(getattr(self, f"_{name}") for name in i.PACE)
-        return i.Recalled(backends, pace, dict(self._class_load))
-
-    def _recalled(self, event: i.Recalled) -> None:
-        for one in event.backends:
-            if (server := self._servers.get(one.id)) is not None and server.started_us == one.started_us:
-                for name in i.LEARNED:
-                    setattr(server, name, getattr(one, name))
-        for name, value in zip(i.PACE, event.pace, strict=True):
-            setattr(self, f"_{name}", value)
-        self._class_load = dict(event.class_load)
-        self._recount()
-
     def _state(self, server: _Server, state: i.BackendState) -> None:
         server.listed = state
         if state is i.BackendState.READY and server.id in self._hand:
@@ -344,6 +331,7 @@
         request.at, request.sent_us = server, self._now
         self._sends = 1.0 + self._sends * math.exp((self._sent_us - self._now) / USUAL_US)
         self._sent_us = self._now
+        self._since += request.load
         if self._pace > 0:
             self._pace_tokens -= 1.0
         self._weigh(request, server, 1.0)
@@ -425,7 +413,8 @@
             grown = (server.held() + load / 2) / server.limit - 1.0 if server.limit > 0 else math.inf
             opens = max(opens, server.limit_us + SECOND * grown / LIMIT_GROWTH)
         if not self._warm_enough(server):
-            fair, age_us, share = self._fair(server), self._now - server.cold_from_us, self._share(server)
+            fair, age_us = self._fair(server), self._now - server.cold_from_us
+            share = self._bold() * self._share(server)
             rate = self._slots(server, share * fair)
             slot_us = max(0.0, 1.0 - server.tokens) / rate if rate > 0 else math.inf
             room = (server.held() / fair - share) / (1 - self._set.cold_from) if fair > 0 else math.inf
@@ -461,23 +450,27 @@
 
     def _healthy(self, server: _Server) -> bool:
         """Outlier ejection. Acts after failed connects, repeated time-outs or a mass reset."""
-        if server.ejected_until > self._now:
-            return False
-        return not server.trial or server.pending == 0  # on trial: one attempt at a time
+        on_trial = server.trial and server.pending > 0  # one attempt at a time
+        return server.ejected_until <= self._now and not on_trial
 
     def _crowded(self, server: _Server, share: float) -> bool:
         """Acts while messages there take over this share of the shortest objective."""
         fresh = self._now - server.delay_us < NOTE_US
-        if self._now < server.warned_us and share < 1.0 and not fresh:
-            return True  # hearsay: others come first
-        return fresh and server.delay_ms > max(self._aim_ms, 1.0) * share * 0.999
+        hearsay = self._now < server.warned_us and share < 1.0 and not fresh  # others come first
+        return hearsay or (fresh and server.delay_ms > max(self._aim_ms, 1.0) * share * 0.999)
 
     def _bounded(self, server: _Server, load: float) -> bool:
         """Bounded loads. Acts when this relay's own load there is far over its fair share. The root
         leaves room for chance where a relay sees only a few of a backend's connections."""
         fair, unit = self._fair(server), self._unit()
         most = BOUND * fair + BOUND_ROOT * math.sqrt(fair * unit) + BOUND_MORE * unit
-        return server.held() + load / 2 <= most
+        return server.held() + self._rush(server) + load / 2 <= most
+
+    def _rush(self, server: _Server) -> float:
+        """What other relays have sent there since the sum, if each has sent as much as this one has to those
+        that are open: or all would fill the same few until the next one."""
+        part = server.capacity * self._share(server) / max(self._open, 1e-9)
+        return (self._relays - 1) * max(0.0, self._since) * part
 
     def _below_limit(self, server: _Server, load: float) -> bool:
         """Acts after a backend was crowded, until its limit has grown past this relay's load there."""
@@ -513,7 +506,9 @@
     def _recount(self) -> None:
         self._recount_us = self._now + PUMP_US  # those that warm up have more by then
         works = (s for s in self._ready if s.ejected_until <= self._now or (s.errors and s.open))  # full ones
-        self._capacity = sum(s.capacity * self._share(s) for s in works)
+        shares = {s: s.capacity * self._share(s) for s in works}
+        self._capacity = sum(shares.values())
+        self._open = sum(c for s, c in shares.items() if not self._crowded(s, 0.5) and self._bounded(s, 0.0))
 
     def _paced(self, request: _Request) -> bool:
         """Congestion control. Acts after backends answer set-ups with errors, as before a shared store that
@@ -557,7 +552,7 @@
         if self._share(server) >= 1.0:
             server.cold_from_us = -1
             return True
-        allowed = self._share(server) * self._fair(server)
+        allowed = self._bold() * self._share(server) * self._fair(server)
         rate = self._slots(server, allowed)
         server.tokens += rate * (self._now - server.token_us)
         server.token_us = self._now
@@ -566,10 +561,15 @@
             server.tokens = full - 1.0 + (server.tokens - full) % 1.0
         return server.tokens >= 1.0 and server.held() <= allowed
 
+    def _bold(self) -> float:
+        """A cold one's share is the least it may have: more is risked while all relays' loads are known."""
+        return BOLD if self._relays > 1 and self._now < self._fresh_until_us else 1.0
+
     def _slots(self, server: _Server, allowed: float) -> float:
-        """Sends a microsecond of this relay to a cold backend: more while the sum of all relays' is heard."""
-        part = (SLOTS_HEARD if self._relays > 1 else 1.0) / self._relays
-        return part * allowed / max(self._unit(), 1e-9) / (2 * self._set.fall_us)
+        """Sends a microsecond of this relay to a cold backend: more while the sum is fresh, as most lapse."""
+        if self._bold() > 1.0:
+            allowed = SLOTS_HEARD * max(0.0, allowed - server.held())
+        return allowed / self._relays / max(self._unit(), 1e-9) / (2 * self._set.fall_us)
 
     def _chill(self, server: _Server, since_us: int) -> None:
         server.cold_from_us, server.token_us = since_us, self._now
@@ -618,6 +618,7 @@
         stood = request.opened
         if stood:
             server.open.pop(request.id, None)
+            self._since -= request.load * (server.state is i.BackendState.READY)
         else:
             server.pending -= 1
         self._weigh(request, server, -1.0)
@@ -687,9 +688,8 @@
         self._lower(server)
 
     def _eject(self, server: _Server, why: str) -> None:
-        if server.ejected_until > self._now or server.state is not i.BackendState.READY:
-            return
-        if sum(s.ejected_until > self._now for s in self._ready) >= EJECT_SHARE * len(self._ready):
+        away = [s for s in self._ready if s.ejected_until > self._now]
+        if server in away or server not in self._ready or len(away) >= EJECT_SHARE * len(self._ready):
             return
         stay = min(EJECT_MAX_US, EJECT_US << min(server.ejections, 10))
         server.ejected_until = self._now + int(stay * (0.75 + 0.5 * self._random.random()))
--- a/sailrun/fleet/digest.py
+++ b/sailrun/fleet/digest.py
@@ -1,31 +1,34 @@
 """The datagrams of a round: what one node holds, and what all who were heard hold together.
 
-A form server is named by three bytes of its number's hash and its load by seven bits of a logarithm, so that
-sixty of them go into one datagram. The eighth bit warns: its teller sees messages late there, or was cut off.
+A form server is named by two bytes of its number's hash, its load by seven bits of a logarithm. The names are
+sorted and only the gaps between them are written, in a Rice code: ninety form servers of two hundred nodes
+go into one datagram, where names in full had room for fifty-five. An eighth bit warns: its teller sees
+messages late there, or was cut off.
 """
 
 from __future__ import annotations
 
 import math
 import struct
+from collections import Counter
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import mmh3
 
-VERSION = 0xF1
+VERSION = 0xF2
 LONGEST = 256
-# Version, kind and flags, entries in it, connections held, round.
+# Version, kind and flags, form servers named, connections held, round.
 _HEAD = struct.Struct("<BBBHI")
-_ENTRY = 4
-TELLING, SUM = 0, 1  # kinds
+TELLING, SUM, ASK = 0, 1, 8  # kinds; whoever asks has heard no sum yet
 TOLD, ALERT = 2, 4  # flags: loads are us of work a second, not connections; there is something to look at
-WARNED = 0x80
+WHOLE, RELAYED = 16, 32  # flags of a sum: all that hold anything are named; passed on to a node that asked
+NAME_BITS, LOAD_BITS = 16, 7
+NAMES, STEPS = 1 << NAME_BITS, (1 << LOAD_BITS) - 1
 # One step of the logarithm: a load is known to 5%.
-STEP = 1.1
-MOST_STEPS = 0x7F
+STEP = 1.09
 # A load of so much, in connections or in us of work a second, is the first step.
-FIRST = {False: 0.25, True: 25.0}
+FIRST = {False: 0.25, True: 50.0}
 
 
 class BadDatagram(ValueError):
@@ -43,16 +46,29 @@
     alert: bool = False
     warned: frozenset[int] = frozenset()
     voices: frozenset[int] | None = None  # of a sum: the nodes that it speaks for
+    whole: bool = True  # a form server that is not named holds nothing; else it is not known
+    relayed: bool = False
+    asks: bool = False
 
 
 def short(number: int) -> int:
-    """Three bytes for a form server: two of sixty are alike once in ten thousand fleets."""
-    return mmh3.hash(number.to_bytes(8, "little"), signed=False) >> 8
+    """Two bytes for a form server. Two that are alike in one list are known to `alike`."""
+    return mmh3.hash(number.to_bytes(8, "little"), signed=False) >> (32 - NAME_BITS)
+
+
+def alike(numbers: Iterable[int]) -> frozenset[int]:
+    """Names that more than one of these form servers has: what is said of them is said of no one."""
+    counted = Counter(map(short, numbers))
+    return frozenset(name for name, count in counted.items() if count > 1)
 
 
 def room(nodes: int) -> int:
-    """How many form servers a datagram has room for, in a tier of so many nodes."""
-    return (LONGEST - _HEAD.size - (nodes + 7) // 8) // _ENTRY
+    """How many form servers a datagram has room for whatever they are called, in a tier of so many nodes."""
+    bits = 8 * (LONGEST - _HEAD.size - (nodes + 7) // 8)
+    count = 1
+    while count < 0xFF and _most_bits(count + 1) <= bits:
+        count += 1
+    return count
 
 
 def write(digest: Digest, nodes: int) -> bytes:
@@ -61,47 +77,124 @@
     if len(names) > room(nodes):
         raise ValueError(f"{len(names)} form servers")
     kind = TELLING if digest.voices is None else SUM
-    kind |= (TOLD if digest.told else 0) | (ALERT if digest.alert else 0)
+    for flag, is_so in (
+        (TOLD, digest.told),
+        (ALERT, digest.alert),
+        (WHOLE, digest.whole),
+        (RELAYED, digest.relayed),
+        (ASK, digest.asks),
+    ):
+        kind |= flag if is_so else 0
     head = _HEAD.pack(VERSION, kind, len(names), min(digest.connections, 0xFFFF), digest.round & 0xFFFFFFFF)
-    entries = bytearray()
+    parameter, bits, length, before = _rice(len(names)), 0, 0, -1
     for name in names:
-        step = _step(digest.loads.get(name, 0.0), digest.told) | (WARNED if name in digest.warned else 0)
-        entries += name.to_bytes(3, "little") + bytes((step,))
-    return head + (b"" if digest.voices is None else _bits(digest.voices, nodes)) + bytes(entries)
+        gap, before = name - before - 1, name
+        step = _step(digest.loads.get(name, 0.0), digest.told) << 1 | (name in digest.warned)
+        quotient = gap >> parameter
+        # So many ones as the quotient says, a zero, the remainder, then load and warning.
+        entry = (((1 << quotient) - 1) << 1) << parameter | gap & ((1 << parameter) - 1)
+        width = quotient + 1 + parameter + LOAD_BITS + 1
+        bits = bits << width | entry << (LOAD_BITS + 1) | step
+        length += width
+    spare = -length % 8
+    entries = (bits << spare).to_bytes((length + spare) // 8, "big")
+    return head + (b"" if digest.voices is None else _bits(digest.voices, nodes)) + entries
 
 
 def read(content: bytes, nodes: int) -> Digest:
     """Raises BadDatagram for whatever a node of a tier of so many would not have written."""
-    if len(content) < _HEAD.size or content[0] != VERSION:
-        raise BadDatagram("another version")
+    if not _HEAD.size <= len(content) <= LONGEST or content[0] != VERSION:
+        raise BadDatagram("another version, or no datagram of this kind")
     _, kind, count, connections, number = _HEAD.unpack_from(content)
-    if kind & ~(SUM | TOLD | ALERT):
+    if kind & ~(SUM | TOLD | ALERT | WHOLE | RELAYED | ASK) or (kind & ASK and (count or kind & SUM)):
         raise BadDatagram(f"kind {kind}")
     at, voices = _HEAD.size, None
     if kind & SUM:
         at += (nodes + 7) // 8
         bits = int.from_bytes(content[_HEAD.size : at], "little")
-        if bits >> nodes:
+        if len(content) < at or bits >> nodes:
             raise BadDatagram("a node that there is not")
         voices = frozenset(n for n in range(nodes) if bits >> n & 1)
-    if len(content) != at + count * _ENTRY:
-        raise BadDatagram(f"{len(content)} bytes for {count} form servers")
     told = bool(kind & TOLD)
     loads, warned = dict[int, float](), set[int]()
-    for start in range(at, len(content), _ENTRY):
-        name, step = int.from_bytes(content[start : start + 3], "little"), content[start + 3]
-        if name in loads:
-            raise BadDatagram("a form server twice")
-        loads[name] = _load(step & MOST_STEPS, told)
-        if step & WARNED:
+    left = _Bits(content[at:])
+    parameter, name = _rice(count), -1
+    for _ in range(count):
+        quotient = left.ones()
+        name += 1 + (quotient << parameter | left.take(parameter))
+        if name >= NAMES:
+            raise BadDatagram("a name that there is not")
+        step = left.take(LOAD_BITS + 1)
+        loads[name] = _load(step >> 1, told)
+        if step & 1:
             warned.add(name)
-    return Digest(number, loads, connections, told, bool(kind & ALERT), frozenset(warned), voices)
+    if not left.spent():
+        raise BadDatagram(f"{len(content)} bytes for {count} form servers")
+    alert, whole, relayed, asks = (bool(kind & flag) for flag in (ALERT, WHOLE, RELAYED, ASK))
+    return Digest(number, loads, connections, told, alert, frozenset(warned), voices, whole, relayed, asks)
+
+
+def heaviest(loads: Mapping[int, float], first: frozenset[int], most: int) -> list[int]:
+    """The names that go in if not all of them do: those to be told first, then by load."""
+    return sorted(loads, key=lambda n: (n not in first, -loads[n], n))[:most]
+
+
+def parts(telling: Digest, most: int) -> list[Digest]:
+    """What one node holds, in as many datagrams as it takes."""
+    names = sorted(telling.loads)
+    if len(names) <= most:
+        return [telling]
+    pieces = (frozenset(names[n : n + most]) for n in range(0, len(names), most))
+    return [
+        replace(telling, loads={n: telling.loads[n] for n in sorted(p)}, warned=telling.warned & p)
+        for p in pieces
+    ]
+
+
+def merged(one: Digest | None, other: Digest) -> Digest:
+    """Two parts of what one node holds; the same part twice is that part."""
+    if one is None:
+        return other
+    return replace(one, loads={**one.loads, **other.loads}, warned=one.warned | other.warned)
+
+
+class _Bits:
+    """Bits read one after another; asked for more than there are, it raises BadDatagram."""
+
+    def __init__(self, content: bytes) -> None:
+        self._bits, self._left = int.from_bytes(content, "big"), 8 * len(content)
+
+    def take(self, count: int) -> int:
+        self._left -= count
+        if self._left < 0:
+            raise BadDatagram("torn")
+        return self._bits >> self._left & ((1 << count) - 1)
+
+    def ones(self) -> int:
+        count = 0
+        while self.take(1):
+            count += 1
+        return count
+
+    def spent(self) -> bool:
+        """Whether nothing is left but what fills the last byte."""
+        return self._left < 8 and not self._bits & ((1 << self._left) - 1)
+
+
+def _rice(count: int) -> int:
+    """The parameter of the code: about the logarithm of the mean gap between so many names."""
+    return (NAMES // count).bit_length() - 1 if count else 0
+
+
+def _most_bits(count: int) -> int:
+    parameter = _rice(count)
+    return count * (1 + parameter + LOAD_BITS + 1) + (NAMES >> parameter)
 
 
 def _step(load: float, told: bool) -> int:
     if load < FIRST[told] / 2:
         return 0
-    return max(1, min(MOST_STEPS, 1 + round(math.log(load / FIRST[told], STEP))))
+    return max(1, min(STEPS, 1 + round(math.log(load / FIRST[told], STEP))))
 
 
 def _load(step: int, told: bool) -> float:
--- a/sailrun/fleet/rounds.py
+++ b/sailrun/fleet/rounds.py
@@ -3,28 +3,34 @@
 Every node telling every other costs as many datagrams as there are pairs. Here the time of day names one node
 of the tier, another each round: all tell that one, it adds up, and tells all the sum. Two datagrams for each
 node and round, however many nodes there are. A collector that is down costs the one round.
+
+A node that has just started knows nothing, and asks: another passes on the latest sum that it has heard.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 import mmh3
 
-from sailrun.fleet.digest import BadDatagram, Digest, read, room, short, write
+from sailrun.fleet.digest import BadDatagram, Digest, heaviest, merged, parts, read, room, short, write
+from sailrun.fleet.known import SECOND, Others, Tier
 
-SECOND = 1_000_000
-# A round, as often as that where there is something to look at, else so many times more seldom. Each costs
-# two datagrams a node: beyond forty nodes rounds are longer, so that the tier sends no more of them.
-ROUND_US, SELDOM, NODE_US = 2 * SECOND, 4, 50_000
+# A round, as often as that where there is something to look at, else so many times more seldom. Beyond two
+# hundred nodes rounds are longer, so that the tier sends no more of them.
+ROUND_US, SELDOM, NODE_US = 2 * SECOND, 4, 10_000
 # Within a round: all tell within the first while, the collector adds up after the second.
 TELL_US, COLLECT_US = 200_000, 300_000
 # Whoever saw something to look at, or heard that others do, goes on looking for so long.
 ALERT_US = 6 * SECOND
 # A warning counts if so many of those heard give it.
 WARN_LEAST = 2
+# A node that has heard no sum asks another one so often, this many times.
+ASK_US, ASKS = 400_000, 5
+# What is known counts less as it ages: so often the core hears how much.
+AGE_US = 1 * SECOND
 
 Outgoing = tuple[int | None, bytes]
 
@@ -40,17 +46,6 @@
     alert: bool  # something is going on: a warm-up, a drain, a warning
 
 
-@dataclass(frozen=True, slots=True)
-class Others:
-    """What the other nodes hold together, as a sum told of it."""
-
-    loads: dict[int, float]  # by the form servers' numbers; those that the sum does not name left out
-    connections: int
-    told: bool
-    nodes: int  # nodes that the sum speaks for, this one among them
-    warned: frozenset[int]
-
-
 class Rounds:
     """One node's part in the rounds of its tier."""
 
@@ -58,41 +53,57 @@
         self._index, self._nodes, self._room = index, nodes, room(nodes)
         self._random = Random(seed)
         self._round_us = max(ROUND_US, NODE_US * nodes)
-        # A sum holds for so long: one round may be lost, and at the most two.
-        self.holds_us = 3 * self._round_us + SECOND
+        self._tier = Tier(index, self._round_us)
         self._alert_until_us = now_us
         self._collecting: dict[int, Digest] = {}  # the round's tellings, by node
         self._own: dict[int, Digest] = {}  # what this node told, by round
         self._round = now_us // self._round_us  # the one under way
         self._tell_us = self._at(TELL_US, 1)
         self._sum_us = self._sum_round = 0  # when this node adds up, for which round; 0: not this time
+        self._ask_us, self._asked = now_us + self._within(ASK_US // 4), 0
+        self._age_us = now_us + AGE_US
+        self._latest: Digest | None = None  # the sum to pass on
         self.refused = 0  # datagrams that were none, or came too late
 
     def due_us(self) -> int:
         """When `turn` wants to be called next."""
-        return min(self._tell_us, self._sum_us or self._tell_us)
+        ask_us = self._ask_us if self._asks else self._tell_us
+        return min(self._tell_us, self._sum_us or self._tell_us, ask_us, self._age_us)
 
     def collector(self, number: int) -> int:
         """Whom all tell in this round."""
         return mmh3.hash(number.to_bytes(8, "little"), 0, signed=False) % self._nodes
 
+    @property
+    def _asks(self) -> bool:
+        return self._latest is None and self._asked < ASKS and self._nodes > 1
+
     def turn(self, now_us: int, holding: Holding) -> tuple[list[Outgoing], Others | None]:
-        """What to send now, and, as a collector, what this node itself learns from it."""
+        """What to send now, and what is known of the others where that has changed."""
         if holding.alert:
             self._alert_until_us = now_us + ALERT_US
         out: list[Outgoing] = []
-        others = None
+        changed = False
+        if self._asks and now_us >= self._ask_us:
+            self._asked += 1
+            self._ask_us = now_us + ASK_US
+            asks = Digest(now_us // self._round_us, {}, 0, holding.told, asks=True)
+            other = (self._index + 1 + self._random.randrange(self._nodes - 1)) % self._nodes
+            out.append((other, write(asks, self._nodes)))
         if self._sum_us and now_us >= self._sum_us:
             self._sum_us = 0
             total = self._add_up(holding)
             out.append((None, write(total, self._nodes)))
-            others = self._others(total, holding)
+            changed = self._hear(total)
         if now_us >= self._tell_us:
             self._round = now_us // self._round_us
             if now_us < self._alert_until_us or self._round % SELDOM == 0:
                 self._tell(now_us, holding, out)
             self._tell_us = self._at(TELL_US, 1)
-        return out, others
+        if now_us >= self._age_us:
+            self._age_us = now_us + AGE_US
+            changed = changed or self._tier.round >= 0
+        return out, self._others(now_us, holding) if changed else None
 
     def _tell(self, now_us: int, holding: Holding, out: list[Outgoing]) -> None:
         telling = self._digest(holding, now_us < self._alert_until_us)
@@ -100,36 +111,58 @@
         if self.collector(self._round) == self._index:
             self._collect(self._round)
         else:
-            out.append((self.collector(self._round), write(telling, self._nodes)))
+            out += [(self.collector(self._round), write(p, self._nodes)) for p in parts(telling, self._room)]
 
-    def heard(self, now_us: int, sender: int, content: bytes, holding: Holding) -> Others | None:
-        """What a datagram makes known. One that is torn, old, or not its sender's to send is counted."""
+    def heard(
+        self, now_us: int, sender: int, content: bytes, holding: Holding
+    ) -> tuple[list[Outgoing], Others | None]:
+        """What a datagram makes known, and the answer to it. One that is torn, old, or not its sender's to
+        send is counted.
+        """
         try:
             digest = read(content, self._nodes)
         except BadDatagram:
             self.refused += 1
-            return None
+            return [], None
         number = now_us // self._round_us
-        mine = self.collector(digest.round) == self._index
+        if digest.asks:
+            return self._answer(sender), None
         if digest.voices is None:
-            if not mine or not number <= digest.round <= number + 1:
+            mine = self.collector(digest.round) == self._index
+            late = now_us >= digest.round * self._round_us + COLLECT_US
+            if mine and not late and number <= digest.round <= number + 1:
+                self._collect(digest.round)
+                self._collecting[sender] = merged(self._collecting.get(sender), digest)
+            else:
                 self.refused += 1
-                return None
-            if now_us >= digest.round * self._round_us + COLLECT_US:
-                self.refused += 1
-                return None
-            self._collect(digest.round)
-            self._collecting[sender] = digest
-            return None
-        if sender != self.collector(digest.round) or not number - 1 <= digest.round <= number + 1:
+            return [], None
+        # A relayed one is believed by a node that knows nothing, and by nobody else.
+        whose = self._latest is None if digest.relayed else sender == self.collector(digest.round)
+        oldest = number - (SELDOM if digest.relayed else 1)
+        if not whose or not oldest <= digest.round <= number + 1:
             self.refused += 1
-            return None
+            return [], None
         if digest.alert:
             self._alert_until_us = max(self._alert_until_us, now_us + ALERT_US)
-        return self._others(digest, holding)
+        return [], self._others(now_us, holding) if self._hear(digest) else None
+
+    def _answer(self, sender: int) -> list[Outgoing]:
+        if self._latest is None or not 0 <= sender < self._nodes:
+            return []
+        return [(sender, write(replace(self._latest, relayed=True), self._nodes))]
 
     # ------------------------------------------------------------------ sums
 
+    def _hear(self, total: Digest) -> bool:
+        voices = total.voices or frozenset()
+        if not self._tier.hear(total, self._own.get(total.round) if self._index in voices else None):
+            return False
+        self._latest = total
+        return True
+
+    def _others(self, now_us: int, holding: Holding) -> Others:
+        return self._tier.others(now_us, holding.loads)
+
     def _collect(self, number: int) -> None:
         if self._sum_round != number:
             self._collecting = {}
@@ -137,14 +170,17 @@
 
     def _at(self, within_us: int, later: int = 0) -> int:
         """A time of its own within a round: nodes that tell in the same instant would be lost together."""
-        return (self._round + later) * self._round_us + int(within_us * self._random.random())
+        return (self._round + later) * self._round_us + self._within(within_us)
+
+    def _within(self, span_us: int) -> int:
+        return int(span_us * self._random.random())
 
     def _digest(self, holding: Holding, alert: bool) -> Digest:
-        # The heaviest, if they do not all go in.
-        chosen = [n for n, load in holding.loads.items() if load > 0 or n in holding.warned]
-        chosen.sort(key=lambda n: (n not in holding.warned, -holding.loads[n], n))
-        loads = {short(n): holding.loads[n] for n in chosen[: self._room]}
-        warned = frozenset(short(n) for n in holding.warned) & loads.keys()
+        loads = dict[int, float]()
+        for number, load in holding.loads.items():
+            if load > 0 or number in holding.warned:
+                loads[short(number)] = loads.get(short(number), 0.0) + load
+        warned = frozenset(map(short, holding.warned)) & loads.keys()
         return Digest(self._round, loads, holding.connections, holding.told, alert, warned)
 
     def _add_up(self, holding: Holding) -> Digest:
@@ -164,30 +200,21 @@
                 sums[name] = sums.get(name, 0.0) + load * scale
             for name in digest.warned:
                 warnings[name] = warnings.get(name, 0) + 1
-        heaviest = sorted(sums, key=lambda n: (-sums[n], n))[: self._room]
+        warned = frozenset(n for n, count in warnings.items() if count >= WARN_LEAST)
+        chosen = heaviest(sums, warned, self._room)
+        whole = len(chosen) == len(sums)
+        if not whole:
+            # Not all go in: those that were named longest ago, empty ones too, so that each has its turn.
+            candidates = dict.fromkeys(map(short, holding.loads), 0.0) | sums
+            chosen = self._tier.longest_ago(candidates, warned)[: self._room]
+            sums = candidates
         return Digest(
             number,
-            {n: sums[n] for n in heaviest},
+            {n: sums[n] for n in chosen},
             sum(d.connections for d in tellings.values()),
             bool(told),
             any(d.alert for d in tellings.values()),
-            frozenset(n for n in heaviest if warnings.get(n, 0) >= WARN_LEAST),
+            warned & set(chosen),
             frozenset(tellings),
+            whole=whole,
         )
-
-    def _others(self, total: Digest, holding: Holding) -> Others:
-        """The sum less what this node had told for it."""
-        voices = total.voices or frozenset()
-        own = self._own.get(total.round) if self._index in voices else None
-        scale = 1.0
-        if own is not None and own.told != total.told:
-            scale = sum(total.loads.values()) / max(1, total.connections)
-        loads = {}
-        for number in holding.loads:
-            name = short(number)
-            if name in total.loads:
-                mine = own.loads.get(name, 0.0) * scale if own is not None else 0.0
-                loads[number] = max(0.0, total.loads[name] - mine)
-        connections = max(0, total.connections - (own.connections if own is not None else 0))
-        warned = frozenset(n for n in holding.loads if short(n) in total.warned)
-        return Others(loads, connections, total.told, max(1, len(voices | {self._index})), warned)
--- a/sailrun/interface.py
+++ b/sailrun/interface.py
@@ -232,7 +232,7 @@
     told: bool  # loads are us of work a second, not connections
     instances: int  # that were heard, this one among them
     warned: frozenset[int]
-    until_us: int  # nothing is known of the others from then on
+    until_us: int  # from then on it may be a good deal different
 
 
 @dataclass(frozen=True, slots=True)
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -16,9 +16,11 @@
 import anyio
 
 from sailrun import interface as i
+from sailrun import recollection
 from sailrun.decide import Balancer
 from sailrun.fleet.digest import VERSION
-from sailrun.fleet.rounds import Holding, Others, Rounds
+from sailrun.fleet.known import Others
+from sailrun.fleet.rounds import AGE_US, Holding, Outgoing, Rounds
 from sailrun.node.clock import Clock, log
 from sailrun.node.counts import Counts, Figures
 from sailrun.node.leaving import Leaving, Reason
@@ -33,9 +35,9 @@
 SECOND = 1_000_000
 FLEET = bytes((VERSION,))
 SWEEP_US = 100_000
-# What a predecessor has told of itself holds for so long.
-PREDECESSOR_US = 1 * SECOND
 PULSE_US = 10 * SECOND
+# What is known of the others is told anew as it ages; should that fail to come, it ends.
+OTHERS_US = 4 * AGE_US
 
 
 class Roster(Protocol):
@@ -279,11 +281,7 @@
         while self._timers and self._timers[0][0] <= self._now:
             self._feed(i.TimerFired(heapq.heappop(self._timers)[1]))
         if self._fleet is not None and self._tells and self._now >= self._fleet.due_us():
-            outgoing, others = self._fleet.turn(self._now, self._holding())
-            for neighbour, content in outgoing:
-                if self.neighbours is not None:
-                    self.neighbours.tell(neighbour, content)
-            self._others_hold(others)
+            self._fleet_says(self._fleet.turn(self._now, self._holding()))
         if self._now >= self._sweep_us:
             self._sweep_us = self._now + SWEEP_US
             self._sweep()
@@ -530,29 +528,32 @@
         loads = {number: load + before.loads.get(number, 0.0) for number, load in own.loads.items()}
         return replace(own, loads=loads, connections=own.connections + before.connections)
 
-    def _others_hold(self, others: Others | None) -> None:
-        if others is not None and self._fleet is not None:
+    def _fleet_says(self, said: tuple[list[Outgoing], Others | None]) -> None:
+        """Sends what the rounds have to send, and tells the module what is known of the others by now."""
+        outgoing, others = said
+        for neighbour, content in outgoing:
+            if self.neighbours is not None:
+                self.neighbours.tell(neighbour, content)
+        if others is not None:
             self._heard_of = others.nodes
-            self._others, self._others_until_us = others, self._now + self._fleet.holds_us
+            self._others, self._others_until_us = others, self._now + OTHERS_US
             self._count_others()
 
     def _count_others(self) -> None:
         """Tells the module what others hold: the other nodes, and the process before this one."""
         others, before = self._others, self._predecessor
-        until_us = self._others_until_us
-        if others is None or self._now >= until_us:
-            others, until_us = Others({}, 0, before is not None and before.told, 1, frozenset()), self._now
+        if others is None or self._now >= self._others_until_us:
+            others = Others({}, 0, before is not None and before.told, 1, frozenset())
         loads, connections = others.loads, others.connections
         if before is not None and (before.told is others.told or not connections):
             loads = {n: loads.get(n, 0.0) + before.loads.get(n, 0.0) for n in {*loads, *before.loads}}
             connections += before.connections
-            until_us = max(until_us, self._now + PREDECESSOR_US)
         told = others.told if others.connections or before is None else before.told
-        self._feed(i.OthersHold(loads, connections, told, others.nodes, others.warned, until_us))
+        self._feed(i.OthersHold(loads, connections, told, others.nodes, others.warned, others.until_us))
 
     def _neighbour_said(self, neighbour: int, content: bytes) -> None:
         if self._fleet is not None and content[:1] == FLEET:
-            self._others_hold(self._fleet.heard(self._now, neighbour, content, self._holding()))
+            self._fleet_says(self._fleet.heard(self._now, neighbour, content, self._holding()))
             return
         self._aside(lambda rebalancer: rebalancer.heard(self._now, neighbour, content))
         self._feed(i.PeerMessage(neighbour, content))
@@ -703,7 +704,7 @@
         listed = tuple(s for s in self._form_servers.values() if s.state is not i.BackendState.GONE)
         roster = RosterNews(i.ListKind.CACHED, self._revision, listed)
         draining = Reason.DRAIN in self.leaving
-        return State(roster, frozenset(self._out_by_hand), draining, self._module.learned())
+        return State(roster, frozenset(self._out_by_hand), draining, recollection.learned(self._module))
 
     def _held(self) -> Held:
         holding = Holding(*self._module.holding())
