Fill cold form servers by what is missing only where many nodes share them

At fault by reading: eight slots for what is missing rest on most of them lapsing, which they do where 200 nodes see a session every two seconds each, not at four or five nodes: there all are used, and 1.6 times the sure share is reached before the next sum.

--- a/benchmarks/panel.py
+++ b/benchmarks/panel.py
@@ -55,6 +55,8 @@
     """A day as the bench's report has it. Raises KeyError for a report that is none."""
     row = report["row"]
     broken = [f"{name} broken {count} times" for name, count in (row.get("rules") or {}).items() if count]
+    if row.get("score") is None:
+        broken.append("no score: the machine was too busy for it" if not row.get("fair") else "no score")
     fault = "; ".join([*([str(row["fault"])] if row.get("fault") else []), *broken])
     score, served, wanted, late = (
         float(row.get(name) or 0.0) for name in ("score", "served", "served_least", "served_late")
--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -37,7 +37,7 @@
 # What a set-up usually takes: the lower quarter of so many latest ones, once there are a few.
 LATEST_TOOK, FEW_TOOK = 64, 8
 # Bounded loads: the multiple of the fair share, its roots, connections; more slots while others are heard.
-BOUND, BOUND_ROOT, BOUND_MORE, SLOTS_HEARD, BOLD = 1.15, 1.0, 1.0, 8.0, 1.6
+BOUND, BOUND_ROOT, BOUND_MORE, SLOTS_HEARD, SLOTS_MANY, BOLD, MANY = 1.15, 1.0, 1.0, 3.0, 8.0, 1.6, 16
 # A crowded backend's limit: at most one cut in so long, to this share; its growth a second.
 LIMIT_US, LIMIT_CUT, LIMIT_GROWTH = 900_000, 0.85, 0.1
 # From this multiple of the shortest aim on, this share moves a second; at a drain, all by this of the grace.
@@ -562,14 +562,14 @@
         return server.tokens >= 1.0 and server.held() <= allowed
 
     def _bold(self) -> float:
-        """A cold one's share is the least it may have: more is risked while all relays' loads are known."""
-        return BOLD if self._relays > 1 and self._now < self._fresh_until_us else 1.0
+        """A cold one's share is the least it may have: many relays, of which each sends little, risk more."""
+        return BOLD if self._relays >= MANY and self._now < self._fresh_until_us else 1.0
 
     def _slots(self, server: _Server, allowed: float) -> float:
         """Sends a microsecond of this relay to a cold backend: more while the sum is fresh, as most lapse."""
-        if self._bold() > 1.0:
-            allowed = SLOTS_HEARD * max(0.0, allowed - server.held())
-        return allowed / self._relays / max(self._unit(), 1e-9) / (2 * self._set.fall_us)
+        missing = SLOTS_MANY * max(0.0, allowed - server.held())
+        slots = missing if self._bold() > 1.0 else allowed * (SLOTS_HEARD if self._relays > 1 else 1.0)
+        return slots / self._relays / max(self._unit(), 1e-9) / (2 * self._set.fall_us)
 
     def _chill(self, server: _Server, since_us: int) -> None:
         server.cold_from_us, server.token_us = since_us, self._now
