--- a/tests/test_fleet_rounds.py
+++ b/tests/test_fleet_rounds.py
@@ -274,8 +274,7 @@
     """Each of four nodes holds sessions at 250 form servers: three datagrams a telling, three sums for all."""
     tier = Tier([holding({s: 10_000.0 * (1 + s % 5) for s in range(250)}) for _ in range(4)], 1)
     tier.play(8 * ROUND_US)
+    meant = {s: 30_000.0 * (1 + s % 5) for s in range(250)}
     for others in tier.known.values():
-        known = sum(
-            abs(load - 30_000 * (1 + s % 5)) <= 3_000 * (1 + s % 5) for s, load in others.loads.items()
-        )
-        assert known >= 240  # of 250: a few share a short name
+        known = [s for s, load in others.loads.items() if abs(load - meant[s]) <= 0.1 * meant[s]]
+        assert len(known) >= 240  # of 250: a few share a short name
