--- a/tests/test_fleet_rounds.py
+++ b/tests/test_fleet_rounds.py
@@ -271,7 +271,7 @@
 
 
 def test_form_servers_that_no_one_datagram_can_name_are_told_in_parts_and_named_in_turn() -> None:
-    """Each of four nodes holds sessions at 250 form servers: three datagrams a telling, three sums for all."""
+    """Each of four nodes holds 250 form servers: three datagrams a telling, three sums for all."""
     tier = Tier([holding({s: 10_000.0 * (1 + s % 5) for s in range(250)}) for _ in range(4)], 1)
     tier.play(8 * ROUND_US)
     meant = {s: 30_000.0 * (1 + s % 5) for s in range(250)}
