--- a/sailrun/lab/checks.py
+++ b/sailrun/lab/checks.py
@@ -15,16 +15,19 @@
 
 @dataclass(slots=True, eq=False)
 class Check:
-    """One rule: how often it was broken, and the first few times in words."""
+    """One rule: how often it was broken, and the first few times in words. Where its occasions are counted, a
+    rule without any was not tried, and does not hold.
+    """
 
     name: str
     limit: float = 0.0
     value: float = 0.0
     faults: list[str] = field(default_factory=list)
+    occasions: int | None = None
 
     @property
     def holds(self) -> bool:
-        return self.value <= self.limit
+        return self.value <= self.limit and self.occasions != 0
 
     def broken(self, at_us: int, what: str) -> None:
         self.value += 1
--- /dev/null
+++ b/sailrun/lab/faults/nemesis.py
@@ -0,0 +1,279 @@
+"""What goes wrong, when, and to whom: a script by seed, the same for virtual time and for real processes.
+
+Whom a fault strikes is named by role (the owner of a task, some voters) and found when its time has come, as
+nobody can know before who that will be. Every fault ends before the day does, so that what is owed at the
+end can be asked for.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+SECOND = 1_000_000
+# Nothing goes wrong before all have met, and nothing after this much is left of the day.
+CALM_BEGIN_S, CALM_END_S = 6.0, 14.0
+
+
+class Fleet(Protocol):
+    """What a nemesis can do: the drivers offer it."""
+
+    names: list[str]
+    voters: list[str]
+
+    def after(self, wait_us: int, what: Callable[..., None], *facts: object) -> None: ...
+    def owner(self, task: str) -> str | None: ...
+    def tasks(self) -> list[str]: ...
+    def kill(self, name: str) -> None: ...
+    def start(self, name: str, clock_s: float = 0.0) -> None: ...
+    def leave(self, name: str) -> None: ...
+    def stop(self, name: str, in_send: bool = False) -> int: ...
+    def go_on(self, name: str, stop: int) -> None: ...
+    def cut(self, one: list[str], other: list[str], both_ways: bool = True) -> int: ...
+    def heal(self, cut: int) -> None: ...
+    def weather(self, lost: float, delay_us: tuple[int, int], doubled: float) -> None: ...
+    def hold_back(self, name: str, for_us: int) -> None: ...
+    def want(self, name: str, kind: str, subject: str, for_us: int) -> None: ...
+    def walk(self, name: str, names: list[str], for_us: int) -> None: ...
+    def told(self, what: str, **facts: object) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """One kind of day. Times in seconds."""
+
+    name: str
+    about: str
+    script: Callable[[Nemesis], None]
+    seconds: float = 40.0
+    permits: bool = False
+
+
+class Nemesis:
+    """Carries a plan out, by a seed."""
+
+    def __init__(self, fleet: Fleet, plan: Plan, seed: int, seconds: float, lease_s: float) -> None:
+        self.fleet, self.luck = fleet, random.Random(f"{plan.name}/{seed}")
+        self.seconds, self.lease_s = seconds, lease_s
+        self.last_s = max(CALM_BEGIN_S + 1.0, seconds - CALM_END_S)
+        plan.script(self)
+
+    def at(self, when_s: float, what: Callable[[], None]) -> None:
+        self.fleet.after(int(min(when_s, self.last_s) * SECOND), what)
+
+    def every(self, least_s: float, most_s: float, what: Callable[[], None]) -> None:
+        """Again and again, for as long as things may go wrong."""
+        when_s = CALM_BEGIN_S + self.luck.uniform(0, most_s - least_s)
+        while when_s < self.last_s:
+            self.at(when_s, what)
+            when_s += self.luck.uniform(least_s, most_s)
+
+    def later(self, wait_s: float, what: Callable[..., None], *facts: object) -> None:
+        self.fleet.after(int(wait_s * SECOND), what, *facts)
+
+    def victim(self) -> str:
+        """The owner of some task, most of the time; else anybody."""
+        tasks = self.fleet.tasks()
+        owner = self.fleet.owner(self.luck.choice(tasks)) if tasks else None
+        return (
+            owner if owner is not None and self.luck.random() < 0.85 else self.luck.choice(self.fleet.names)
+        )
+
+    def surely(self, when_s: float, strike: Callable[[str], None]) -> None:
+        """Strikes an owner, whatever chance did elsewhere; where there is none just now, a little later."""
+
+        def now() -> None:
+            owners = [o for o in map(self.fleet.owner, self.fleet.tasks()) if o is not None]
+            if owners:
+                strike(self.luck.choice(owners))
+            else:
+                self.later(0.5, now)
+
+        self.at(when_s, now)
+
+    # ------------------------------------------------------------------ faults
+
+    def kill_for(self, name: str, for_s: float) -> None:
+        self.fleet.kill(name)
+        self.later(for_s, self.fleet.start, name)
+
+    def stop_for(self, name: str, for_s: float) -> None:
+        self.later(for_s, self.fleet.go_on, name, self.fleet.stop(name))
+
+    def cut_off(self, name: str, for_s: float, both_ways: bool) -> None:
+        """From all other voters, not from the rest."""
+        self.cut_for(for_s, [name], [v for v in self.fleet.voters if v != name], both_ways)
+
+    def cut_for(self, for_s: float, one: list[str], other: list[str], both_ways: bool = True) -> None:
+        self.later(for_s, self.fleet.heal, self.fleet.cut(one, other, both_ways))
+
+    def kill_one(self) -> None:
+        name = self.victim()
+        self.fleet.kill(name)
+        self.later(self.luck.choice((0.05, 1.0, 5.0)), self.fleet.start, name)
+
+    def leave_one(self) -> None:
+        name = self.victim()
+        self.fleet.leave(name)
+        self.later(self.luck.uniform(1.0, 4.0), self.fleet.start, name)
+
+    def stop_one(self) -> None:
+        name = self.victim()
+        stop = self.fleet.stop(name, self.luck.random() < 0.5)
+        self.later(self.lease_s * self.luck.uniform(0.3, 3.0), self.fleet.go_on, name, stop)
+
+    def weather(self, lost: float, least_ms: int, most_ms: int, doubled: float = 0.02) -> None:
+        self.fleet.weather(lost, (least_ms * 1000, most_ms * 1000), doubled)
+
+    def part(self, both_ways: bool) -> None:
+        """Cuts the fleet: the owner from the voters, in halves, or in three."""
+        names, how = list(self.fleet.names), self.luck.random()
+        owner = self.victim()
+        for_s = self.luck.choice((1.0, 3.0, 8.0))
+        self.luck.shuffle(names)
+        if how < 0.5:
+            others = [v for v in self.fleet.voters if v != owner]
+            self.cut_for(for_s, [owner], others if self.luck.random() < 0.6 else others[:1], both_ways)
+        elif how < 0.8:
+            half = len(names) // 2
+            self.cut_for(for_s, names[:half], names[half:], both_ways)
+        else:
+            third = max(1, len(names) // 3)
+            parts = [names[:third], names[third : 2 * third], names[2 * third :]]
+            for n, one in enumerate(parts):
+                self.cut_for(for_s, one, parts[(n + 1) % 3], both_ways)
+
+
+def _owner(nemesis: Nemesis) -> None:
+    nemesis.weather(nemesis.luck.choice((0.0, 0.02, 0.1)), 1, nemesis.luck.choice((3, 30)))
+    nemesis.every(4.0, 8.0, lambda: nemesis.luck.choice((nemesis.kill_one, nemesis.leave_one))())
+    nemesis.surely(11.0, lambda name: nemesis.kill_for(name, 2.0 * nemesis.lease_s))
+
+
+def _stopped(nemesis: Nemesis) -> None:
+    nemesis.weather(0.02, 1, 10)
+    nemesis.every(3.0, 7.0, nemesis.stop_one)
+    nemesis.surely(11.0, lambda name: nemesis.stop_for(name, 3.0 * nemesis.lease_s))
+
+
+def _cut(nemesis: Nemesis) -> None:
+    nemesis.weather(0.02, 1, 20)
+    nemesis.every(6.0, 12.0, lambda: nemesis.part(True))
+    nemesis.every(9.0, 15.0, lambda: nemesis.luck.choice((nemesis.kill_one, nemesis.stop_one))())
+    nemesis.surely(11.0, lambda name: nemesis.cut_off(name, 3.0 * nemesis.lease_s, True))
+
+
+def _oneway(nemesis: Nemesis) -> None:
+    nemesis.weather(0.02, 1, 20)
+    nemesis.every(5.0, 10.0, lambda: nemesis.part(False))
+    nemesis.surely(11.0, lambda name: nemesis.cut_off(name, 3.0 * nemesis.lease_s, False))
+
+
+def _slow(nemesis: Nemesis) -> None:
+    luck, fleet = nemesis.luck, nemesis.fleet
+
+    def storm() -> None:
+        nemesis.weather(*luck.choice(((0.3, 1, 40), (0.0, 150, 250), (0.1, 5, 900), (0.05, 300, 2500))), 0.1)
+        nemesis.later(luck.uniform(2.0, 6.0), nemesis.weather, 0.02, 1, 20)
+
+    def hold() -> None:
+        fleet.hold_back(nemesis.victim(), int(luck.choice((3.0, 10.0, 30.0)) * SECOND))
+
+    nemesis.weather(0.02, 1, 20)
+    nemesis.every(6.0, 10.0, storm)
+    nemesis.every(4.0, 9.0, hold)
+    nemesis.every(9.0, 14.0, lambda: luck.choice((nemesis.stop_one, nemesis.kill_one))())
+    nemesis.surely(11.0, lambda name: nemesis.stop_for(name, 3.0 * nemesis.lease_s))
+
+
+def _restart(nemesis: Nemesis) -> None:
+    luck, fleet = nemesis.luck, nemesis.fleet
+
+    def many() -> None:
+        voters = list(fleet.voters)
+        luck.shuffle(voters)
+        # All voters, a bare majority, or one, with the owner; at once or one by one; clocks set elsewhere.
+        struck = set(voters[: luck.choice((1, len(voters) // 2 + 1, len(voters) // 2 + 1, len(voters)))])
+        if luck.random() < 0.5:
+            struck.add(nemesis.victim())
+        clock_s = luck.choice((0.0, 0.0, -3600.0, 3600.0))
+        at_once = luck.random() < 0.6
+        for n, name in enumerate(sorted(struck)):
+            wait_s = 0.0 if at_once else 0.7 * n
+            nemesis.later(wait_s, fleet.kill, name)
+            nemesis.later(wait_s + luck.choice((0.02, 0.02, 0.5, 3.0)), fleet.start, name, clock_s)
+
+    def behind_a_cut() -> None:
+        """The owner and one voter on one side, the others restarted on the other."""
+        owner = nemesis.victim()
+        kept = next((v for v in fleet.voters if v != owner), owner)
+        rest = [n for n in fleet.names if n not in (owner, kept)]
+        nemesis.cut_for(luck.uniform(1.0, 5.0), [owner, kept], rest)
+        for name in [v for v in fleet.voters if v in rest]:
+            nemesis.kill_for(name, 0.05)
+
+    def voter_twice() -> None:
+        """A voter of the owner's majority restarts while another one hears nothing of the owner."""
+        owner = nemesis.victim()
+        others = [v for v in fleet.voters if v != owner]
+        luck.shuffle(others)
+        nemesis.cut_for(3 * nemesis.lease_s, [owner], others[:1])
+        nemesis.later(1.2 * nemesis.lease_s, nemesis.kill_for, others[-1], 0.05)
+        nemesis.later(1.2 * nemesis.lease_s, nemesis.cut_for, 1.8 * nemesis.lease_s, [owner], others)
+
+    nemesis.weather(0.02, 1, 10)
+    nemesis.every(7.0, 11.0, lambda: luck.choice((many, many, behind_a_cut, voter_twice))())
+    nemesis.surely(12.0, lambda name: nemesis.kill_for(name, 4.0 * nemesis.lease_s))
+
+
+def _permits(nemesis: Nemesis) -> None:
+    luck, fleet = nemesis.luck, nemesis.fleet
+
+    def want() -> None:
+        for _ in range(luck.randint(1, 4)):
+            fleet.want(
+                luck.choice(fleet.names),
+                "out",
+                f"s-{luck.randint(1, 6)}",
+                int(luck.uniform(0.5, 6.0) * SECOND),
+            )
+
+    def trouble() -> None:
+        how = luck.random()
+        if how < 0.35:
+            nemesis.kill_one()
+        elif how < 0.6:
+            nemesis.stop_one()
+        elif how < 0.85:
+            nemesis.part(luck.random() < 0.7)
+        else:
+            name = luck.choice(fleet.names)
+            fleet.kill(name)
+            nemesis.later(2.0, fleet.start, name)
+
+    nemesis.weather(0.03, 1, 20)
+    for n in range(14):
+        nemesis.at(CALM_BEGIN_S + 1.3 * n, want)
+    walkers = luck.sample(fleet.names, min(len(fleet.names), 4))
+    nemesis.at(CALM_BEGIN_S + 1.0, lambda: fleet.walk(luck.choice(fleet.names), walkers, SECOND))
+    nemesis.every(4.0, 8.0, trouble)
+
+
+PLANS = {
+    plan.name: plan
+    for plan in (
+        Plan("owner", "Owners are killed, or leave in good order, and come back.", _owner),
+        Plan(
+            "owner-stopped", "Owners stop for longer than a lease, also in the middle of sending.", _stopped
+        ),
+        Plan("owner-cut", "Owners are cut off from voters; the fleet is cut in halves and in three.", _cut),
+        Plan("owner-oneway", "The same, one way only.", _oneway),
+        Plan("owner-slow", "Loss, delay, doubles, what was held back for 30 s, clocks 1% off.", _slow),
+        Plan(
+            "owner-restart", "Voters lose their memory: one, a majority, all; clocks set elsewhere.", _restart
+        ),
+        Plan("permits", "Permits wanted while their holders and owner fail.", _permits, 60.0, True),
+    )
+}
--- /dev/null
+++ b/sailrun/lab/faults/play.py
@@ -0,0 +1,133 @@
+"""Plays a day of faults with either driver, and judges what was recorded."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from sailrun.lab.checks import Check
+from sailrun.lab.faults.history import Judge, Row
+from sailrun.lab.faults.nemesis import PLANS, Nemesis
+from sailrun.lab.figures import quantile
+from sailrun.members.terms import MembersTerms
+from sailrun.owners.agent import AgentTerms
+from sailrun.owners.terms import OwnersTerms, PermitsTerms, ReaderTerms
+
+SECOND = 1_000_000
+NODES, MOST_ZONES = 5, 3
+# The safety rules that can be switched off, to see that the checks find out.
+RULES = ("fence", "clock", "abstain", "majority", "terms", "grace")
+LEASE_S, ORDER_S, PERMIT_LEASE_S = 2.0, 1.0, 4.0
+DRAINS, OUT = 1, 2
+
+
+@dataclass(frozen=True, slots=True)
+class FaultDay:
+    """What is asked for."""
+
+    plan: str
+    seed: int = 1
+    nodes: int = NODES
+    seconds: float | None = None
+    off: frozenset[str] = frozenset()
+
+
+@dataclass(slots=True)
+class Played:
+    rows: list[Row]
+    checks: list[Check]
+    figures: dict[str, float] = field(default_factory=dict)
+    seconds: float = 0.0
+
+
+def voters_among(nodes: int) -> int:
+    """How many vote: 3 of up to 6 nodes, 5 of up to 49, else 7."""
+    return 3 if nodes < 7 else 5 if nodes < 50 else 7
+
+
+def agent_terms(index: int, voters: list[str], joins: list[str], permits: bool) -> AgentTerms:
+    return AgentTerms(
+        MembersTerms(enabled=True, fleet="lab", name=f"n{index}", join=tuple(joins)),
+        OwnersTerms(enabled=True, voters=tuple(voters), lease_s=LEASE_S, order_s=ORDER_S, give_back_s=10.0),
+        PermitsTerms(enabled=permits, drains=DRAINS, out=OUT, lease_s=PERMIT_LEASE_S),
+        ReaderTerms(enabled=True),
+    )
+
+
+def play_virtual(day: FaultDay, told: Callable[[float], None] = lambda share: None) -> Played:
+    from sailrun.lab.faults.virtual import VirtualFleet
+    from sailrun.lab.scheduler import BEGIN_US
+
+    plan = PLANS[day.plan]
+    seconds = day.seconds or plan.seconds
+    zones = min(MOST_ZONES, max(1, day.nodes // 3))
+    fleet = VirtualFleet(
+        day.nodes,
+        voters_among(day.nodes),
+        zones,
+        lambda index, voters, joins: agent_terms(index, voters, joins, plan.permits),
+        day.seed,
+        day.off,
+    )
+    fleet.begin()
+    Nemesis(fleet, plan, day.seed, seconds, LEASE_S)
+    for tenth in range(1, 11):
+        fleet.run(seconds * tenth / 10)
+        told(tenth / 10)
+    end_us = fleet.time.now_us
+    played = judged(fleet.rows, plan.permits, BEGIN_US, end_us, seconds)
+    rate = max(1, fleet.weighed)
+    sent = sum(fleet.by_body.values())
+    played.figures["bytes_a_node_and_s"] = fleet.bytes / rate * sent / day.nodes / seconds
+    played.figures["messages_a_node_and_s"] = sent / day.nodes / seconds
+    played.figures["events"] = float(fleet.time.done)
+    played.figures["agree_on_members"] = float(_agree(fleet))
+    return played
+
+
+def _agree(fleet: Any) -> bool:
+    """Whether all that run know the same members at the end."""
+    agents = [n.agent for n in fleet.nodes.values() if n.agent is not None]
+    return len({tuple((r.name, r.life) for r in a.members.living()) for a in agents}) == 1
+
+
+def judged(rows: list[Row], permits: bool, begin_us: int, end_us: int, seconds: float) -> Played:
+    """The checks and figures of a history."""
+    limits = {"drain": DRAINS, "out": OUT} if permits else {}
+    judge = Judge(rows, limits, begin_us, end_us)
+    killed, left = _gaps(judge, rows)
+    figures = {
+        "changes_of_owner": float(sum(max(0, len(spans) - 1) for spans in judge.holds.values())),
+        "orders_taken": float(sum(1 for r in rows if r["kind"] == "take")),
+        "orders_refused": float(sum(1 for r in rows if r["kind"] == "refuse")),
+    }
+    for name, gaps in (("killed", killed), ("left", left)):
+        if gaps:
+            figures[f"s_without_owner_{name}_median"] = quantile(gaps, 0.5)
+            figures[f"s_without_owner_{name}_most"] = max(gaps)
+    return Played(rows, judge.checks(), figures, seconds)
+
+
+def _gaps(judge: Judge, rows: list[Row]) -> tuple[list[float], list[float]]:
+    """Times without an owner after its process was killed, and after it left in good order."""
+    killed: list[float] = []
+    left: list[float] = []
+    leaving = {(r["node"], r["at_us"]) for r in rows if r["kind"] == "fault" and r["what"] == "leave"}
+    died = {(r["node"], r["at_us"]) for r in rows if r["kind"] == "died"}
+    for task, spans in judge.holds.items():
+        for span in spans:
+            into = killed if (span.node, span.end_us) in died else None
+            into = left if (span.node, span.end_us) in leaving else into
+            gap = judge.without_owner_s(task, span.end_us)
+            if into is not None and gap is not None:
+                into.append(gap)
+    return killed, left
+
+
+def seeds_of(first: int, last: int, tried: random.Random | None = None) -> list[int]:
+    """Seeds of a sweep; with chance, as many drawn from far outside what development used."""
+    if tried is None:
+        return list(range(first, last + 1))
+    return [tried.randrange(10**6, 10**9) for _ in range(last - first + 1)]
--- /dev/null
+++ b/sailrun/lab/faults/virtual.py
@@ -0,0 +1,370 @@
+"""Many agents in virtual time, over a network that does what the nemesis says. The agents are the very
+objects
+that real nodes run; only sockets and clocks are played.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from sailrun.lab.faults.history import Row
+from sailrun.lab.scheduler import BEGIN_US, Scheduler
+from sailrun.members.messages import Record, State
+from sailrun.owners.agent import READER, Agent, AgentTerms, Out
+from sailrun.owners.envelope import Envelope, pack
+from sailrun.owners.founding import founding_term
+from sailrun.owners.permits import Use
+from sailrun.owners.reader import Reading
+
+SECOND = 1_000_000
+# What a node that is stopped finds in its sockets when it wakes; the rest was dropped.
+QUEUED = 2_000
+# One in so many messages is packed, to know what they weigh.
+WEIGHED = 8
+
+
+@dataclass(slots=True, eq=False)
+class VirtualNode:
+    name: str
+    index: int
+    address: str
+    zone: str
+    rate: float  # of its clock
+    offset_us: int = 0
+    agent: Agent | None = None
+    reading: Reading | None = None
+    life: int = 0
+    stopped: bool = False
+    stop_in_send: bool = False
+    stop: int = 0  # the number of the latest stop
+    inbox: list[tuple[str, Envelope]] = field(default_factory=list)
+    held_back_us: int = 0  # what it sends until then is held back as well
+    waking: int = 0  # the number of its next turn; turns of an older one are void
+    wakes_us: int = 0  # when that is, in shared time
+
+
+class VirtualFleet:
+    """The nemesis's `Fleet`, in virtual time."""
+
+    def __init__(
+        self,
+        nodes: int,
+        voters: int,
+        zones: int,
+        terms: Callable[[int, list[str], list[str]], AgentTerms],
+        seed: int,
+        off: frozenset[str] = frozenset(),
+    ) -> None:
+        """`terms` are made for a node's index, the voters' names and the addresses to join by."""
+        self.time = Scheduler()
+        self._luck = random.Random(f"network/{seed}")
+        self._seed, self._off, self._terms = seed, off, terms
+        self.names = [f"n{n}" for n in range(nodes)]
+        self.voters = self.names[:voters]
+        self.rows: list[Row] = []
+        self.nodes = {
+            name: VirtualNode(name, n, f"10.0.0.{n}:1", f"z{n % zones}", self._luck.uniform(0.99, 1.01))
+            for n, name in enumerate(self.names)
+        }
+        self._at = {node.address: node for node in self.nodes.values()}
+        self._cuts: dict[int, set[tuple[str, str]]] = {}  # by cut, from whom to whom nothing comes
+        self._cut = 0
+        self._lost, self._delay_us, self._doubled = 0.0, (1_000, 3_000), 0.0
+        self._sent = 0
+        self.weighed = self.bytes = 0
+        self.by_body: dict[str, int] = {}
+        self.revision = 1
+        self._changes: list[Any] = []
+
+    # ------------------------------------------------------------------ the day
+
+    def begin(self) -> None:
+        for name in self.names:
+            self.time.after(int(self._luck.uniform(0, 0.3) * SECOND), self.start, name)
+        self.time.after(SECOND, self._publish)
+
+    def run(self, seconds: float) -> None:
+        self.time.run(BEGIN_US + int(seconds * SECOND))
+
+    def _publish(self) -> None:
+        self.revision += 1
+        self.time.after(SECOND, self._publish)
+
+    def after(self, wait_us: int, what: Callable[..., None], *facts: object) -> None:
+        self.time.after(wait_us, what, *facts)
+
+    def row(self, kind: str, node: str, **facts: Any) -> None:
+        self.rows.append({"at_us": self.time.now_us, "node": node, "kind": kind, **facts})
+
+    def told(self, what: str, **facts: object) -> None:
+        self.row("fault", str(facts.get("node", "")), what=what, facts=str(facts))
+
+    # ------------------------------------------------------------------ processes
+
+    def clock_us(self, node: VirtualNode) -> int:
+        """The node's own monotonic clock."""
+        return int((self.time.now_us - BEGIN_US) * node.rate) + node.offset_us
+
+    def _shared_us(self, node: VirtualNode, own_us: int) -> int:
+        """The shared time at which the node's clock shows this."""
+        return BEGIN_US + int((own_us - node.offset_us) / node.rate)
+
+    def start(self, name: str, clock_s: float = 0.0) -> None:
+        node = self.nodes[name]
+        if node.agent is not None:
+            return
+        node.life += 1
+        node.stopped, node.inbox = False, []
+        luck = random.Random(f"{self._seed}/{name}/{node.life}")
+        node.offset_us = luck.randrange(10**9)  # a monotonic clock begins anywhere
+        joins = [n.address for n in self.nodes.values() if n.index < 3 and n is not node]
+        terms = self._terms(node.index, self.voters, joins)
+        me = Record(name, luck.getrandbits(62), 1, State.ALIVE, node.address, node.zone)
+
+        def record(kind: str, **facts: Any) -> None:
+            if "until_us" in facts:
+                facts["until_us"] = self._shared_us(node, facts["until_us"])
+            self.row(kind, name, **facts)
+
+        wall_s = (self.time.now_us - BEGIN_US) / SECOND + 1.8e9 + clock_s
+        node.agent = Agent(
+            me,
+            terms,
+            luck.getrandbits(32),
+            self.clock_us(node),
+            lambda: founding_term(wall_s, luck.getrandbits(12)),
+            self._off,
+            record,
+        )
+        self._give_work(node)
+        self.row("started", name, life=me.life, clock_s=clock_s)
+        self._wake(node, 0)
+
+    def _give_work(self, node: VirtualNode) -> None:
+        agent = node.agent
+        assert agent is not None
+        if not agent.terms.reader.enabled:
+            return
+        task = READER + node.zone
+        reading = node.reading = Reading("roster", agent.terms.reader, self.clock_us(node))
+        agent.answers[task] = lambda now_us, sender, content: reading.answer(content)
+
+    def kill(self, name: str) -> None:
+        node = self.nodes[name]
+        if node.agent is None:
+            return
+        self.row("died", name)
+        node.stop += 1
+        node.agent, node.inbox, node.stopped = None, [], False
+        node.waking += 1
+
+    def leave(self, name: str) -> None:
+        node = self.nodes[name]
+        if node.agent is None or node.stopped:
+            return
+        self.told("leave", node=name)
+        self._send(node, node.agent.leave(self.clock_us(node)))
+        # It goes on for a moment, as a node does that moves its households.
+        self.time.after(SECOND // 2, self._end, name, node.life)
+
+    def _end(self, name: str, life: int) -> None:
+        if self.nodes[name].life == life:
+            self.kill(name)
+
+    def stop(self, name: str, in_send: bool = False) -> int:
+        node = self.nodes[name]
+        if node.agent is not None:
+            self.told("stop", node=name, in_send=in_send)
+            node.stop += 1
+            if in_send:
+                node.stop_in_send = True
+            else:
+                node.stopped = True
+        return node.stop
+
+    def go_on(self, name: str, stop: int) -> None:
+        node = self.nodes[name]
+        if node.stop != stop:
+            return
+        node.stop_in_send = False
+        if not node.stopped:
+            return
+        self.told("go-on", node=name)
+        node.stopped = False
+        if node.agent is None:
+            return
+        inbox, node.inbox = node.inbox, []
+        for address, envelope in inbox:
+            self._hear(node, address, envelope)
+        self._wake(node, 0)
+
+    # ------------------------------------------------------------------ turns
+
+    def _wake(self, node: VirtualNode, wait_us: int) -> None:
+        node.waking += 1
+        node.wakes_us = self.time.now_us + wait_us
+        self.time.after(wait_us, self._turn, node, node.waking)
+
+    def _turn(self, node: VirtualNode, waking: int) -> None:
+        agent = node.agent
+        if waking != node.waking or agent is None or node.stopped:
+            return
+        now_us = self.clock_us(node)
+        outs = agent.turn(now_us)
+        if node.reading is not None:
+            outs += self._read(node, agent, node.reading, now_us)
+        self._send(node, outs)
+        if agent.walks.draining:
+            agent.walks.standing(now_us, 0)
+        if not node.stopped:
+            self._wake(node, max(1_000, agent.due_us(now_us) - now_us))
+
+    def _read(self, node: VirtualNode, agent: Agent, reading: Reading, now_us: int) -> list[Out]:
+        task = READER + node.zone
+        reading.owner = bool(agent.tenures.holds(task, now_us))
+        if reading.reads(now_us):
+            reading.read(self.revision, [])
+        has = reading.due(now_us)
+        if has is None or not agent.members.joined:
+            return []
+
+        def done(now_us: int, sent_us: int, content: Any) -> None:
+            reading.told(now_us, content)
+
+        return agent.ask(now_us, task, [has.source, has.revision], done)
+
+    def _hear(self, node: VirtualNode, address: str, envelope: Envelope) -> None:
+        if node.agent is None:
+            return
+        if node.stopped:
+            if len(node.inbox) < QUEUED:
+                node.inbox.append((address, envelope))
+            return
+        now_us = self.clock_us(node)
+        self._send(node, node.agent.hear(now_us, address, envelope))
+        wait_us = max(1_000, node.agent.due_us(now_us) - now_us)
+        if not node.stopped and self.time.now_us + wait_us < node.wakes_us:
+            self._wake(node, wait_us)
+
+    def _send(self, node: VirtualNode, outs: list[Out]) -> None:
+        agent = node.agent
+        assert agent is not None
+        agent.notes.clear()
+        now_us = self.clock_us(node)
+        outs = [out for out in outs if out.guard is None or agent.still(out.guard, now_us)]
+        if node.stop_in_send and any(out.guard for out in outs):
+            # It has looked at the clock, and is stopped before it sends.
+            node.stop_in_send, node.stopped = False, True
+            self.time.after(
+                int(self._luck.uniform(1.0, 6.0) * SECOND), self._send_late, node, node.stop, outs
+            )
+            return
+        for out in outs:
+            self._put(node, out)
+
+    def _send_late(self, node: VirtualNode, stop: int, outs: list[Out]) -> None:
+        if node.agent is None or node.stop != stop:
+            return
+        for out in outs:
+            self._put(node, out)
+        self.go_on(node.name, stop)
+
+    # ------------------------------------------------------------------ the network
+
+    def _put(self, node: VirtualNode, out: Out) -> None:
+        self._sent += 1
+        kind = type(out.envelope.body).__name__
+        self.by_body[kind] = self.by_body.get(kind, 0) + 1
+        if self._sent % WEIGHED == 0:
+            self.weighed += 1
+            self.bytes += len(pack(out.envelope))
+        to = self._at.get(out.address)
+        luck = self._luck
+        if to is None or self._is_cut(node.name, to.name):
+            return
+        for _ in range(1 + (luck.random() < self._doubled)):
+            if luck.random() < self._lost:
+                continue
+            wait_us = int(luck.uniform(*self._delay_us))
+            wait_us = max(wait_us, node.held_back_us - self.time.now_us if luck.random() < 0.5 else 0)
+            self.time.after(wait_us, self._arrive, node.name, node.address, to, out.envelope)
+
+    def _arrive(self, sender: str, address: str, to: VirtualNode, envelope: Envelope) -> None:
+        if not self._is_cut(sender, to.name):
+            self._hear(to, address, envelope)
+
+    def _is_cut(self, sender: str, to: str) -> bool:
+        return any((sender, to) in pairs for pairs in self._cuts.values())
+
+    def cut(self, one: list[str], other: list[str], both_ways: bool = True) -> int:
+        self.told("cut", one=",".join(one), other=",".join(other), both_ways=both_ways)
+        self._cut += 1
+        self._cuts[self._cut] = {(a, b) for a in one for b in other}
+        if both_ways:
+            self._cuts[self._cut] |= {(b, a) for a in one for b in other}
+        return self._cut
+
+    def heal(self, cut: int) -> None:
+        self.told("heal")
+        self._cuts.pop(cut, None)
+
+    def weather(self, lost: float, delay_us: tuple[int, int], doubled: float) -> None:
+        self.told("weather", lost=lost, delay_us=delay_us, doubled=doubled)
+        self._lost, self._delay_us, self._doubled = lost, delay_us, doubled
+
+    def hold_back(self, name: str, for_us: int) -> None:
+        self.told("hold-back", node=name, for_us=for_us)
+        self.nodes[name].held_back_us = self.time.now_us + for_us
+        self.time.after(min(for_us, SECOND // 2), self._let_go, name)
+
+    def _let_go(self, name: str) -> None:
+        """What was sent stays held; what it sends from now on is not."""
+        self.nodes[name].held_back_us = 0
+
+    # ------------------------------------------------------------------ what the nemesis asks
+
+    def owner(self, task: str) -> str | None:
+        for node in self.nodes.values():
+            if node.agent is not None and node.agent.tenures.holds(task, self.clock_us(node)):
+                return node.name
+        return None
+
+    def tasks(self) -> list[str]:
+        agents = [node.agent for node in self.nodes.values() if node.agent is not None]
+        return sorted({task for agent in agents if agent.members.joined for task in agent.tasks()})
+
+    def want(self, name: str, kind: str, subject: str, for_us: int) -> None:
+        agent = self.nodes[name].agent
+        if agent is None or agent.holder is None or self.nodes[name].stopped:
+            return
+        if (kind, subject) in agent.holder.wanted:
+            return
+        agent.holder.want(kind, subject)
+        life = self.nodes[name].life
+        previous = agent.on_use
+
+        def used(use: Use) -> None:
+            previous(use)
+            if use.yes and (use.kind, use.subject) == (kind, subject):
+                self.time.after(for_us, self._give_back, name, life, kind, subject)
+
+        agent.on_use = used
+
+    def _give_back(self, name: str, life: int, kind: str, subject: str) -> None:
+        node = self.nodes[name]
+        if node.agent is None or node.life != life or node.agent.holder is None:
+            return
+        if node.stopped:
+            self.time.after(SECOND, self._give_back, name, life, kind, subject)
+            return
+        node.agent.holder.give_back(self.clock_us(node), kind, subject)
+        self._send(node, node.agent._changes(self.clock_us(node)))
+
+    def walk(self, name: str, names: list[str], for_us: int) -> None:
+        agent = self.nodes[name].agent
+        if agent is not None:
+            self.told("walk", node=name, names=",".join(names))
+            agent.walks.begin(self.clock_us(self.nodes[name]), f"walk-{self._seed}", names, for_us)
--- a/sailrun/lab/run.py
+++ b/sailrun/lab/run.py
@@ -51,6 +51,7 @@
     limit: float
     holds: bool
     faults: list[str] = []
+    occasions: int | None = None  # None: not counted
 
 
 class Summary(msgspec.Struct):
--- /dev/null
+++ b/sailrun/members/messages.py
@@ -0,0 +1,84 @@
+"""What members say to each other about who is a member."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+import msgspec
+
+
+class State(IntEnum):
+    """In the order in which they overrule one another in one incarnation."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    GONE = 2
+    LEFT = 3
+
+
+class Record(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """One member as somebody knows it. A process is a `life`; its incarnation grows when it refutes, and a
+    returning name begins above the one it had.
+    """
+
+    name: str
+    life: int
+    incarnation: int
+    state: State
+    address: str
+    zone: str = ""
+
+    def overrules(self, other: Record) -> bool:
+        """Any two are in order, the same everywhere: copies converge whatever the order of arrival."""
+        return (self.incarnation, self.state, self.life) > (other.incarnation, other.state, other.life)
+
+
+class Ping(msgspec.Struct, array_like=True, frozen=True, tag="ping"):
+    number: int
+
+
+class Ack(msgspec.Struct, array_like=True, frozen=True, tag="ack"):
+    number: int
+    digest: int  # of the sender's copy of the members
+
+
+class PingFor(msgspec.Struct, array_like=True, frozen=True, tag="ping-for"):
+    """Probe the target for me. One who gets no answer in time says so, so that I know that I am heard."""
+
+    number: int
+    target: str
+
+
+class Nack(msgspec.Struct, array_like=True, frozen=True, tag="nack"):
+    number: int
+
+
+class Join(msgspec.Struct, array_like=True, frozen=True, tag="join"):
+    record: Record
+
+
+class Joined(msgspec.Struct, array_like=True, frozen=True, tag="joined"):
+    incarnation: int  # the newcomer's from now on
+    by: Record  # whom it may ask for the others
+
+
+class Refused(msgspec.Struct, array_like=True, frozen=True, tag="refused"):
+    """`why`: `unknown` (join first), `name` (it is another's), `fleet`."""
+
+    why: str
+    by: str = ""
+
+
+class Pull(msgspec.Struct, array_like=True, frozen=True, tag="pull"):
+    """Tell me those that come after this name, of the ranges in which our copies differ."""
+
+    after: str
+    digests: list[int]  # the asker's, by range; empty: all ranges
+
+
+class Page(msgspec.Struct, array_like=True, frozen=True, tag="page"):
+    records: list[Record]
+    more: bool
+
+
+MemberBody = Ping | Ack | PingFor | Nack | Join | Joined | Refused | Pull | Page
--- /dev/null
+++ b/sailrun/members/swim.py
@@ -0,0 +1,582 @@
+"""Members, probed in turn; suspects, who may refute; and what is known of them, told along with every
+message.
+
+The protocol is SWIM's (Das, Gupta, Motivala 2002) with what Lifeguard adds (Dadgar, Phillips, Currey 2018): a
+member that finds itself slow probes slower and suspects later, a suspect is told so first, and a suspicion
+that
+several share ends sooner. Pure: messages and the time go in, letters come out; times are microseconds of one
+clock that only this process reads.
+"""
+
+from __future__ import annotations
+
+import bisect
+import math
+import random
+import zlib
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from sailrun.members.messages import (
+    Ack,
+    Join,
+    Joined,
+    MemberBody,
+    Nack,
+    Page,
+    Ping,
+    PingFor,
+    Pull,
+    Record,
+    Refused,
+    State,
+)
+from sailrun.members.terms import MembersTerms
+
+SECOND = 1_000_000
+MISSED_MOST = 8  # how slow a member may take itself to be: its times are stretched by 1 to 9
+HELPERS = 3
+# Within one period: direct probes at these parts of it, others are asked to probe at these.
+DIRECT, INDIRECT = (0.0, 0.3, 0.6), (0.35, 0.65)
+# A suspicion held by one alone lasts so much longer than one that three others share.
+ALONE, SHARED = 6.0, 3
+# No turn for so long, in periods: this process was stopped or starved, and what it missed says nothing.
+AWAY = 0.5
+PAGE = 10
+# A record is told so many times, by the logarithm of the fleet's size.
+TELLS = 4
+# Copies are compared in so many ranges of names, after so many answers in a row that differ, and at most
+# so often.
+RANGES, DIFFER, COMPARE_US = 16, 2, 2 * SECOND
+# A turn is asked for at least so often.
+STEP_US = 250_000
+
+
+_LIVING = (State.ALIVE, State.SUSPECT)
+
+
+def _mark(record: Record) -> int:
+    return zlib.crc32(f"{record.name},{record.life},{record.incarnation},{int(record.state)}".encode())
+
+
+def _range(name: str) -> int:
+    return zlib.crc32(name.encode()) % RANGES
+
+
+@dataclass(frozen=True, slots=True)
+class Letter:
+    """A body on its way to an address; `record` rides along first, so that the accused may refute."""
+
+    address: str
+    body: MemberBody
+    record: Record | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """What became of a member, for the log."""
+
+    what: str  # joined, suspect, gone, left, back, refused, claimed
+    record: Record
+    why: str = ""
+
+
+@dataclass(slots=True)
+class _Known:
+    record: Record
+    since_us: int
+    until_us: int = 0  # a suspect is gone at this time
+    accused_us: int = 0
+    accusers: set[str] = field(default_factory=set)
+    named_twice_us: int = -1  # when a claim to its name was last checked for
+
+
+@dataclass(slots=True)
+class _Probe:
+    name: str
+    number: int
+    began_us: int
+    period_us: int
+    done: int = 0  # of DIRECT
+    asked: int = 0  # of INDIRECT
+    nacks: int = 0
+    helpers: int = 0
+
+
+class Members:
+    """One member's view of its fleet."""
+
+    def __init__(self, me: Record, terms: MembersTerms, seed: int, now_us: int) -> None:
+        """`me`: incarnation 1, alive. With nobody to join by, this member is the first of its fleet."""
+        self.me = me
+        self.terms = terms
+        self.changes: list[Change] = []  # for whoever drives this; emptied by him
+        self.stray = 0  # messages of senders that are no members
+        self.refused_by = ""  # who has our name, if we were refused
+        self._random = random.Random(seed)
+        self._known: dict[str, _Known] = {me.name: _Known(me, now_us)}
+        self._seeds = [a for a in terms.join if a != me.address]
+        self.joined = not self._seeds
+        self._join_us = now_us
+        self._news: OrderedDict[str, int] = OrderedDict()  # by name, how often told; what is new first
+        self._round: list[str] = []
+        self._probe: _Probe | None = None
+        self._next_us = now_us
+        self._number = 0
+        self._for: dict[
+            int, tuple[str, int, str, int]
+        ] = {}  # probes for others: whose, his number, target, until
+        self._missed = 0
+        self._expected_us = now_us  # when the next turn was due, as the last one had it
+        self._suspects: set[str] = set()
+        self._ended: set[str] = set()  # gone or left
+        self._pulled_us = now_us
+        self._knocked_us = now_us
+        # Of the records in each range, all exclusive-ored: it changes with one of them.
+        self._digests = [0] * RANGES
+        self._digests[_range(me.name)] = _mark(me)
+        self._differ = 0  # answers in a row that told of another copy
+        self.leaving = False
+        self._living: list[str] = [me.name]  # names, in their order
+        self.version = 0  # grows whenever who lives changes
+
+    # ------------------------------------------------------------------ what is known
+
+    def record(self, name: str) -> Record | None:
+        known = self._known.get(name)
+        return known.record if known is not None else None
+
+    def known(self) -> Iterator[tuple[Record, int]]:
+        """Every record with the time since which it is so."""
+        return ((k.record, k.since_us) for _, k in sorted(self._known.items()))
+
+    def living(self) -> list[Record]:
+        """Who is not gone and has not left, this member among them, by name."""
+        return [self._known[name].record for name in self._living]
+
+    def lives(self, name: str) -> bool:
+        record = self.record(name)
+        return record is not None and record.state in _LIVING
+
+    def digest(self) -> int:
+        """Of this copy: equal where two members know the same."""
+        return zlib.crc32(repr(self._digests).encode())
+
+    @property
+    def slowness(self) -> int:
+        """1: this member keeps up; up to 9: its own times are stretched by so much."""
+        return 1 + self._missed
+
+    def news(self, most: int, first: Record | None = None) -> list[Record]:
+        """What rides along with the next message: what was told least often, and the accused's record
+        first.
+        """
+        told = [first] if first is not None else []
+        limit = TELLS * math.ceil(math.log10(len(self._known) + 1))
+        for _ in range(min(most - len(told), len(self._news))):
+            name, times = self._news.popitem(last=False)
+            if first is None or name != first.name:
+                told.append(self._known[name].record)
+            if times + 1 < limit:
+                self._news[name] = times + 1
+        return told
+
+    # ------------------------------------------------------------------ what comes in
+
+    def knows(self, name: str, life: int) -> bool:
+        """Whether a message of this sender's counts; one that does not is counted here."""
+        if self.is_current(name, life):
+            return True
+        self.stray += 1
+        return False
+
+    def is_current(self, name: str, life: int) -> bool:
+        """Whether the other member of that name is, as far as known here, this process."""
+        known = self._known.get(name)
+        return known is not None and known.record.life == life and name != self.me.name
+
+    def heard_from(self, now_us: int, name: str, life: int, incarnation: int) -> None:
+        """A message of its own says better than any hearsay that a member lives in that incarnation."""
+        known = self._known.get(name)
+        if known is not None and known.record.life == life and incarnation > known.record.incarnation:
+            r = known.record
+            self._learn(now_us, Record(name, life, incarnation, State.ALIVE, r.address, r.zone), name)
+
+    def hear_news(self, now_us: int, records: list[Record], teller: str) -> None:
+        for record in records:
+            self._learn(now_us, record, teller)
+
+    def hear(self, now_us: int, sender: Record, body: MemberBody) -> list[Letter]:
+        """`sender`: its name, life and incarnation as the message states them, and where it came from."""
+        match body:
+            case Join(record):
+                return self._asked_to_join(now_us, record, sender.address)
+            case Joined(incarnation, by):
+                self._learn(now_us, by, by.name)
+                self._admitted(now_us, incarnation)
+                return [self._pull(now_us, sender.address)]
+            case Refused("unknown"):
+                # New there, or forgotten: it says who it is.
+                return [Letter(sender.address, Join(self.me))] if self.joined and not self.leaving else []
+            case Refused(_, by):
+                self._turned_away(now_us, by)
+                return []
+        if not self.knows(sender.name, sender.life):
+            # It may have been forgotten, or speak under a name that is another's.
+            return [Letter(sender.address, Refused("unknown"))] if isinstance(body, Ping) else []
+        at = self._known[sender.name].record
+        match body:
+            case Ping(number):
+                told = at if at.state is not State.ALIVE else None
+                return [Letter(at.address, Ack(number, self.digest()), told)]
+            case Ack(number, digest):
+                return self._acked(now_us, sender.name, number, digest)
+            case PingFor(number, target):
+                known = self._known.get(target)
+                if known is None:
+                    return []
+                self._number += 1
+                until_us = now_us + int(self._period_us() * 0.3)
+                self._for[self._number] = (sender.name, number, target, until_us)
+                return [Letter(known.record.address, Ping(self._number), self._accused(known))]
+            case Nack(number):
+                if self._probe is not None and self._probe.number == number:
+                    self._probe.nacks += 1
+                return []
+            case Pull(after, theirs):
+                pairs = zip(theirs, self._digests, strict=False)
+                same = {n for n, (one, other) in enumerate(pairs) if one == other}
+                names = [n for n in sorted(self._known) if n > after and _range(n) not in same]
+                page = [self._known[n].record for n in names[:PAGE]]
+                return [Letter(at.address, Page(page, len(names) > PAGE))]
+            case Page(records, more):
+                self.hear_news(now_us, records, sender.name)
+                return [self._pull(now_us, at.address, records[-1].name)] if more and records else []
+        return []
+
+    def _asked_to_join(self, now_us: int, record: Record, address: str) -> list[Letter]:
+        if record.name == self.me.name:
+            if record.life != self.me.life:
+                self._claimed_twice(now_us, record)
+                return [Letter(address, Refused("name", self.me.address))]
+            return []
+        known = self._known.get(record.name)
+        if known is None or known.record.life == record.life:
+            incarnation = 1 if known is None else known.record.incarnation
+            if known is not None and known.record.state in (State.GONE, State.LEFT):
+                incarnation += 1
+        elif known.record.state in (State.GONE, State.LEFT) or known.record.address == record.address:
+            # Its process is gone for certain where another one now holds the address.
+            incarnation = known.record.incarnation + 1
+        else:
+            # Another life has the name and was not found gone. It is told, and asked whether it lives.
+            known.named_twice_us = now_us
+            return [
+                Letter(address, Refused("name", known.record.address)),
+                Letter(known.record.address, Join(record)),
+            ]
+        newer = Record(record.name, record.life, incarnation, State.ALIVE, record.address, record.zone)
+        self._learn(now_us, newer, record.name)
+        return [Letter(address, Joined(incarnation, self.me))]
+
+    def _claimed_twice(self, now_us: int, other: Record) -> None:
+        own = self._known[self.me.name]
+        if now_us - own.named_twice_us > 10 * SECOND or own.named_twice_us < 0:
+            own.named_twice_us = now_us
+            self.changes.append(Change("claimed", other, "name-claimed-twice"))
+
+    def _admitted(self, now_us: int, incarnation: int) -> None:
+        self.refused_by = ""
+        if incarnation > self.me.incarnation:
+            self._be(now_us, incarnation)
+        if not self.joined:
+            self.joined = True
+            self.changes.append(Change("joined", self.me))
+            self._tell(self.me.name)
+
+    def _turned_away(self, now_us: int, by: str) -> None:
+        """The name is another's, at that address: this process is no member, and asks again now and then."""
+        if by == self.me.address:
+            return
+        if self.refused_by != by:
+            self.changes.append(Change("refused", self.me, f"name-claimed-twice by {by}"))
+        self.refused_by = by
+        self.joined, self._join_us = False, now_us + 5 * SECOND
+
+    def _be(self, now_us: int, incarnation: int, state: State = State.ALIVE) -> None:
+        old = self.me
+        self.me = Record(old.name, old.life, incarnation, state, old.address, old.zone)
+        self._set(now_us, self.me)
+
+    def _set(self, now_us: int, record: Record) -> _Known:
+        known = self._known.get(record.name)
+        before = known.record if known is not None else None
+        if known is None or known.record.life != record.life:
+            known = self._known[record.name] = _Known(record, now_us)
+        elif known.record.state is not record.state:
+            known.since_us = now_us
+        known.record = record
+        self._sort_in(record.name, before, record)
+        self._tell(record.name)
+        return known
+
+    def _sort_in(self, name: str, before: Record | None, after: Record | None) -> None:
+        """Keeps what is derived from the records: who lives, suspects, those ended, the digest."""
+        for record in (before, after):
+            self._digests[_range(name)] ^= _mark(record) if record is not None else 0
+        state = after.state if after is not None else None
+        for names, states in ((self._suspects, (State.SUSPECT,)), (self._ended, (State.GONE, State.LEFT))):
+            (names.add if state in states else names.discard)(name)
+        lived, lives = (r is not None and r.state in _LIVING for r in (before, after))
+        if lives and not lived:
+            bisect.insort(self._living, name)
+        elif lived and not lives:
+            self._living.remove(name)
+        if lives is not lived or (before is not None and after is not None and before.zone != after.zone):
+            self.version += 1
+
+    def _tell(self, name: str) -> None:
+        self._news[name] = 0
+        self._news.move_to_end(name, last=False)
+
+    def _learn(self, now_us: int, record: Record, teller: str) -> None:
+        if record.name == self.me.name:
+            self._learn_of_myself(now_us, record)
+            return
+        known = self._known.get(record.name)
+        if known is not None and not record.overrules(known.record):
+            if record == known.record and record.state is State.SUSPECT:
+                self._shared(now_us, known, teller)
+            return
+        before = known.record if known is not None else None
+        if known is None and record.state in (State.GONE, State.LEFT):
+            return  # nobody we knew; remembered by those who did
+        now_known = self._set(now_us, record)
+        match record.state:
+            case State.SUSPECT:
+                self._accuse(now_us, now_known, teller)
+            case State.ALIVE if before is None or before.life != record.life:
+                self.changes.append(Change("joined", record))
+            case State.ALIVE if before is not None and before.state in (State.GONE, State.LEFT):
+                self.changes.append(Change("back", record))
+            case State.GONE if before is not None:
+                self.changes.append(Change("gone", record, f"told by {teller}"))
+            case State.LEFT:
+                self.changes.append(Change("left", record))
+
+    def _learn_of_myself(self, now_us: int, record: Record) -> None:
+        if record.life != self.me.life:
+            if record.incarnation >= self.me.incarnation and record.state is State.ALIVE and self.joined:
+                # Somebody was given this name while we were taken for gone.
+                self._turned_away(now_us, record.address)
+            elif record.incarnation >= self.me.incarnation:
+                self._be(now_us, record.incarnation + 1)
+        elif record.incarnation >= self.me.incarnation and record.state is not self.me.state:
+            if not self.leaving:
+                self._be(now_us, record.incarnation + 1)  # refuted
+        elif record.incarnation > self.me.incarnation:
+            self._be(now_us, record.incarnation)
+
+    # ------------------------------------------------------------------ suspicion
+
+    def _least_us(self) -> int:
+        size = max(1.0, math.log10(max(1, len(self._living))))
+        return int(self.terms.suspect_s * SECOND * size)
+
+    def _accuse(self, now_us: int, known: _Known, accuser: str) -> None:
+        known.accused_us, known.accusers = now_us, {accuser}
+        self._set_end(known)
+        self.changes.append(Change("suspect", known.record, f"told by {accuser}"))
+
+    def _shared(self, now_us: int, known: _Known, accuser: str) -> None:
+        if accuser not in known.accusers and len(known.accusers) <= SHARED:
+            known.accusers.add(accuser)
+            self._set_end(known)
+            self._tell(known.record.name)
+
+    def _set_end(self, known: _Known) -> None:
+        least = self._least_us()
+        others = len(known.accusers) - 1
+        # Where the fleet has fewer who could confirm, fewer are waited for.
+        wanted = max(1, min(SHARED, len(self._living) - 3))
+        part = min(1.0, math.log(others + 1) / math.log(wanted + 1))
+        known.until_us = known.accused_us + int(least * (ALONE - (ALONE - 1.0) * part)) * self.slowness
+
+    def _accused(self, known: _Known) -> Record | None:
+        return known.record if known.record.state is not State.ALIVE else None
+
+    # ------------------------------------------------------------------ time
+
+    def due_us(self, now_us: int) -> int:
+        """When `turn` wants to be called next."""
+        due_us = now_us + STEP_US
+        if not self.joined:
+            return min(due_us, self._join_us)
+        for name in self._suspects:
+            due_us = min(due_us, self._known[name].until_us)
+        for _, _, _, until_us in self._for.values():
+            due_us = min(due_us, until_us)
+        probe = self._probe
+        if probe is None:
+            return min(due_us, self._next_us)
+        parts = [*DIRECT[probe.done : probe.done + 1], *INDIRECT[probe.asked : probe.asked + 1], 1.0]
+        return min(due_us, probe.began_us + math.ceil(min(parts) * probe.period_us))
+
+    def turn(self, now_us: int) -> list[Letter]:
+        late_us = now_us - self._expected_us
+        if late_us > self._period_us() * AWAY:
+            self._was_away(now_us, late_us)
+        letters = self._turn(now_us)
+        self._expected_us = max(now_us, self.due_us(now_us))
+        return letters
+
+    def _turn(self, now_us: int) -> list[Letter]:
+        if not self.joined and not self.leaving:
+            return self._ask_to_join(now_us)
+        letters: list[Letter] = []
+        for number, (whose, his, _target, until_us) in list(self._for.items()):
+            if now_us >= until_us:
+                del self._for[number]
+                asker = self.record(whose)
+                if asker is not None:
+                    letters.append(Letter(asker.address, Nack(his)))
+        for known in [self._known[name] for name in sorted(self._suspects)]:
+            if known.until_us and now_us >= known.until_us:
+                self._give_up(now_us, known)
+        for name in sorted(self._ended):
+            if self._forgotten(now_us, self._known[name]):
+                self._sort_in(name, self._known.pop(name).record, None)
+                self._news.pop(name, None)
+        if not self.leaving:
+            letters += self._go_on_probing(now_us)
+            letters += self._knock(now_us)
+        return letters
+
+    def _forgotten(self, now_us: int, known: _Known) -> bool:
+        silent = now_us - known.since_us > self.terms.forget_s * SECOND
+        return silent and known.record.name != self.me.name
+
+    def _was_away(self, now_us: int, gap: int) -> None:
+        """Nothing was heard since nobody listened: no suspicion grows in that time, and no probe has
+        failed.
+        """
+        self._missed = min(MISSED_MOST, self._missed + max(1, min(4, gap // self._period_us())))
+        self._probe, self._next_us = None, now_us
+        self._for.clear()
+        for known in self._known.values():
+            if known.record.state is State.SUSPECT:
+                known.accused_us += gap
+                known.until_us += gap
+
+    def _ask_to_join(self, now_us: int) -> list[Letter]:
+        if now_us < self._join_us:
+            return []
+        self._join_us = now_us + SECOND // 2
+        return [Letter(address, Join(self.me)) for address in self._seeds]
+
+    def _period_us(self) -> int:
+        return int(self.terms.probe_s * SECOND) * self.slowness
+
+    def _go_on_probing(self, now_us: int) -> list[Letter]:
+        letters: list[Letter] = []
+        if self._probe is not None:
+            probe, known = self._probe, self._known.get(self._probe.name)
+            if known is None or known.record.state in (State.GONE, State.LEFT):
+                self._probe = None
+            else:
+                part = (now_us - probe.began_us) / probe.period_us
+                while probe.done < len(DIRECT) and part >= DIRECT[probe.done]:
+                    probe.done += 1
+                    letters.append(Letter(known.record.address, Ping(probe.number), self._accused(known)))
+                while probe.asked < len(INDIRECT) and part >= INDIRECT[probe.asked]:
+                    probe.asked += 1
+                    for helper in self._some(HELPERS, probe.name):
+                        probe.helpers += 1
+                        letters.append(Letter(helper.address, PingFor(probe.number, probe.name)))
+                if part >= 1.0:
+                    self._unanswered(now_us, probe, known)
+        if self._probe is None and now_us >= self._next_us:
+            name = self._next_name()
+            if name is not None:
+                self._number += 1
+                self._next_us = now_us + self._period_us()
+                self._probe = _Probe(name, self._number, now_us, self._period_us(), 1)
+                known = self._known[name]
+                letters.append(Letter(known.record.address, Ping(self._number), self._accused(known)))
+        return letters
+
+    def _next_name(self) -> str | None:
+        while self._round:
+            name = self._round.pop()
+            if name != self.me.name and self.lives(name):
+                return name
+        self._round = [name for name in self._living if name != self.me.name]
+        self._random.shuffle(self._round)
+        return self._round.pop() if self._round else None
+
+    def _some(self, count: int, *but: str) -> list[Record]:
+        """Others that live, by chance; fewer where there are no more."""
+        picked = self._random.sample(self._living, min(count + 1 + len(but), len(self._living)))
+        names = [name for name in picked if name != self.me.name and name not in but]
+        return [self._known[name].record for name in names[:count]]
+
+    def _acked(self, now_us: int, sender: str, number: int, digest: int) -> list[Letter]:
+        if (asked := self._for.pop(number, None)) is not None and asked[2] == sender:
+            asker = self.record(asked[0])
+            return [Letter(asker.address, Ack(asked[1], 0))] if asker is not None else []
+        letters: list[Letter] = []
+        if self._probe is not None and self._probe.number == number:
+            if sender == self._probe.name and digest:
+                self._differ = self._differ + 1 if digest != self.digest() else 0
+            if self._differ >= DIFFER and now_us - self._pulled_us > COMPARE_US:
+                # Others go on knowing something else: this one takes what differs.
+                letters.append(self._pull(now_us, self._known[sender].record.address))
+            self._probe = None
+            self._missed = max(0, self._missed - 1)
+        return letters
+
+    def _pull(self, now_us: int, address: str, after: str = "") -> Letter:
+        self._pulled_us, self._differ = now_us, 0
+        return Letter(address, Pull(after, list(self._digests)))
+
+    def _unanswered(self, now_us: int, probe: _Probe, known: _Known) -> None:
+        self._probe = None
+        # Helpers that answered nothing at all: it may be this member that is not heard.
+        if probe.helpers and probe.nacks < probe.helpers:
+            self._missed = min(MISSED_MOST, self._missed + 1)
+        if known.record.state is State.ALIVE:
+            r = known.record
+            suspect = Record(r.name, r.life, r.incarnation, State.SUSPECT, r.address, r.zone)
+            self._accuse(now_us, self._set(now_us, suspect), self.me.name)
+        elif known.record.state is State.SUSPECT:
+            self._shared(now_us, known, self.me.name)
+
+    def _give_up(self, now_us: int, known: _Known) -> None:
+        r = known.record
+        self._set(now_us, Record(r.name, r.life, r.incarnation, State.GONE, r.address, r.zone))
+        self.changes.append(Change("gone", r, f"silent, {len(known.accusers)} said so"))
+
+    def _knock(self, now_us: int) -> list[Letter]:
+        """Asks one of those taken for gone, and an address to join by: two sides of a cut find each other."""
+        if now_us - self._knocked_us < 2 * SECOND:
+            return []
+        self._knocked_us = now_us
+        letters = []
+        gone = [r for r in (self._known[n].record for n in sorted(self._ended)) if r.state is State.GONE]
+        if gone:
+            one = self._random.choice(gone)
+            letters.append(Letter(one.address, Ping(0), one))
+        known = {k.record.address for k in self._known.values()}
+        unknown = [a for a in self._seeds if a not in known]
+        if unknown:
+            letters.append(Letter(self._random.choice(unknown), Join(self.me)))
+        return letters
+
+    def leave(self, now_us: int) -> list[Letter]:
+        """In good order: some are told at once, who tell the others."""
+        if self.leaving:
+            return []
+        self.leaving = True
+        self._be(now_us, self.me.incarnation, State.LEFT)
+        return [Letter(r.address, Ping(0), self.me) for r in self._some(8)]
--- /dev/null
+++ b/sailrun/owners/envelope.py
@@ -0,0 +1,52 @@
+"""How everything between members is written: MessagePack arrays, one envelope a datagram or frame.
+
+The fields of an array are read by place: a newer version may add fields at the end, which an older one skips,
+and a kind of body that is not known is dropped whole. Nothing here is trusted for its size: a datagram is at
+most `LONGEST_DATAGRAM` bytes, a frame `LONGEST_FRAME`.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from sailrun.members.messages import MemberBody, Record
+from sailrun.owners.messages import Claim, OwnerBody
+
+LONGEST_DATAGRAM = 1200
+LONGEST_FRAME = 4 * 1024 * 1024
+# What rides along, so that a datagram stays below its limit whatever the names are.
+MOST_NEWS, MOST_CLAIMS = 4, 3
+
+Body = MemberBody | OwnerBody
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    """`life` and `incarnation` are the sender's own; `news` and `claims` are hearsay that rides along."""
+
+    fleet: str
+    sender: str
+    life: int
+    incarnation: int
+    body: Body
+    news: list[Record] = []
+    claims: list[Claim] = []
+
+
+class BadMessage(ValueError):
+    """No envelope of this program."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def pack(envelope: Envelope) -> bytes:
+    return _encoder.encode(envelope)
+
+
+def unpack(data: bytes) -> Envelope:
+    """Raises BadMessage for whatever is none."""
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError, RecursionError) as error:
+        raise BadMessage(str(error)) from None
--- /dev/null
+++ b/sailrun/owners/messages.py
@@ -0,0 +1,162 @@
+"""What owners, voters and those who take orders say to each other; `members/messages.py` carries it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+
+class Claim(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """Hearsay: who owned a task, under which term. It decides nothing; it spares asking."""
+
+    task: str
+    term: int
+    holder: str
+
+
+class Ask(msgspec.Struct, array_like=True, frozen=True, tag="ask"):
+    """Grant me the task, or renew it. `number` is the asker's own, so that answers are not mixed up."""
+
+    task: str
+    term: int
+    number: int
+    stage: int  # which voters the asker counts
+
+
+class Grant(msgspec.Struct, array_like=True, frozen=True, tag="grant"):
+    task: str
+    term: int
+    number: int
+
+
+class Deny(msgspec.Struct, array_like=True, frozen=True, tag="deny"):
+    """`why`: `held`, `term` (too low), `abstains`, `stage`. `left_us`: when to ask again."""
+
+    task: str
+    term: int  # the highest the voter knows
+    number: int
+    why: str
+    left_us: int
+    holder: str = ""
+
+
+class Release(msgspec.Struct, array_like=True, frozen=True, tag="release"):
+    """To a voter: the lease is not used any more."""
+
+    task: str
+    term: int
+
+
+class Yield(msgspec.Struct, array_like=True, frozen=True, tag="yield"):
+    """To the next owner: the task is free, take it."""
+
+    task: str
+    term: int
+
+
+class Recall(msgspec.Struct, array_like=True, frozen=True, tag="recall"):
+    """A voter that has started asks the others what it may have forgotten."""
+
+    number: int
+
+
+class Recalled(msgspec.Struct, array_like=True, frozen=True, tag="recalled"):
+    number: int
+    remembers: bool  # whether the sender has been a voter without a gap
+    terms: dict[str, int]
+
+
+class Question(msgspec.Struct, array_like=True, frozen=True, tag="question"):
+    """To the owner of a task. `term`: the highest the asker knows; an owner of less is none any more."""
+
+    task: str
+    term: int
+    number: int
+    content: Any = None
+
+
+class Order(msgspec.Struct, array_like=True, frozen=True, tag="order"):
+    """The owner's answer: what the asker is to do, or may. Nothing of an owner's comes but as an answer, so
+    that the asker's own clock tells how old it is.
+    """
+
+    task: str
+    term: int
+    number: int
+    content: Any = None
+
+
+class Refusal(msgspec.Struct, array_like=True, frozen=True, tag="refusal"):
+    """An order was not taken: a higher term is known, or it came too late."""
+
+    task: str
+    term: int  # the highest known here
+    number: int
+    late: bool
+
+
+class NotMine(msgspec.Struct, array_like=True, frozen=True, tag="not-mine"):
+    """The question came to one that does not own the task."""
+
+    task: str
+    term: int
+    holder: str
+    number: int
+
+
+class Walk(msgspec.Struct, array_like=True, frozen=True, tag="walk"):
+    """Drain yourself once a permit is yours, and stay empty for so long. The same walk is taken up but
+    once.
+    """
+
+    walk: str
+    for_us: int
+
+
+class Walking(msgspec.Struct, array_like=True, frozen=True, tag="walking"):
+    """How far a node is with it: `asked`, `queued`, `draining`, `empty`, `done` or `refused`."""
+
+    walk: str
+    state: str
+    why: str = ""
+
+
+class Want(msgspec.Struct, array_like=True, frozen=True):
+    """A question about a permit: I ask for it, hold it, or give it back (`state`: want, held, back).
+
+    `place` is what an owner gave when it queued this, and `(0, 0)` before that.
+    """
+
+    kind: str
+    subject: str
+    state: str
+    place: tuple[int, int] = (0, 0)
+
+
+class Say(msgspec.Struct, array_like=True, frozen=True):
+    """The answer: `yes` lasts for a permit's lease from when the question was sent."""
+
+    kind: str
+    subject: str
+    yes: bool
+    place: tuple[int, int]
+    ahead: int  # who waits before it
+    why: str = ""
+
+
+OwnerBody = (
+    Ask
+    | Grant
+    | Deny
+    | Release
+    | Yield
+    | Recall
+    | Recalled
+    | Question
+    | Order
+    | Refusal
+    | NotMine
+    | Walk
+    | Walking
+)
--- /dev/null
+++ b/sailrun/owners/permits.py
@@ -0,0 +1,256 @@
+"""Permits: how much may be out of service at a time. One owner hands them out; each is a lease of its own.
+
+Nothing is stored: whoever holds a permit, or waits for one, says so again and again, and a new owner first
+listens for as long as a permit may last that its predecessor gave. What nobody claims by then is in use by
+nobody, since its holder's own clock has ended it before.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from sailrun.owners.messages import Say, Want
+from sailrun.owners.terms import DRIFT, PermitsTerms
+
+SECOND = 1_000_000
+TASK = "permits"
+DRAIN, OUT = "drain", "out"
+# A holder, or one that waits, says so this many times within a permit's lease, and at least once a second.
+SAYS = 6
+MOST_ENTRIES = 10_000
+# More questions at once than this are left for the next turn.
+AT_ONCE = 64
+Key = tuple[str, str]
+
+
+@dataclass(slots=True)
+class _Entry:
+    """A permit in use; several nodes may hold the one for a form server, each having it out."""
+
+    holders: dict[str, tuple[int, int]] = field(default_factory=dict)  # by name: its life, and until when
+
+
+@dataclass(slots=True)
+class _Waiting:
+    place: tuple[int, int]
+    until_us: int
+
+
+class PermitOffice:
+    """The owner's side. Made anew at each term: it knows nothing, and gives nothing until it has listened."""
+
+    def __init__(
+        self, terms: PermitsTerms, term: int, now_us: int, off: frozenset[str] = frozenset()
+    ) -> None:
+        self._terms, self.term = terms, term
+        self._lease_us = int(terms.lease_s * SECOND)
+        self.open_us = now_us + (0 if "grace" in off else int(self._lease_us * (1 + 3 * DRIFT)))
+        self._in_use: dict[Key, _Entry] = {}
+        self._queue: dict[tuple[Key, str], _Waiting] = {}  # by what, and who
+        self._count = 0
+
+    def limit(self, kind: str) -> int:
+        return {DRAIN: self._terms.drains, OUT: self._terms.out}.get(kind, 0)
+
+    def asked(self, now_us: int, sender: str, life: int, want: Want) -> Say:
+        """Answers one question; the same question again gets the same answer."""
+        key = (want.kind, want.subject)
+        self._sweep(now_us)
+        if want.state == "back":
+            self._queue.pop((key, sender), None)
+            entry = self._in_use.get(key)
+            if entry is not None:
+                entry.holders.pop(sender, None)
+                if not entry.holders:
+                    del self._in_use[key]
+            return Say(*key, False, (0, 0), 0, "back")
+        if not self.limit(want.kind):
+            return Say(*key, False, (0, 0), 0, f"no permits of the kind {want.kind}")
+        entry = self._in_use.get(key)
+        held = entry is not None and sender in entry.holders and entry.holders[sender][0] == life
+        claims = want.state == "held"
+        if claims and not held and now_us < self.open_us:
+            held = True  # given by the owner before: it is in use, however many there are
+        place = self._queue_up(now_us, key, sender, want.place)
+        if place is None:
+            return Say(*key, False, (0, 0), 0, f"{MOST_ENTRIES} wait already")
+        ahead = self._ahead(key, place)
+        free = entry is not None or (
+            now_us >= self.open_us and self.used(want.kind) + ahead < self.limit(want.kind)
+        )
+        if not held and not free:
+            why = self._why(now_us, want.kind)
+            return Say(*key, False, place, ahead, why)
+        self._queue.pop((key, sender), None)
+        entry = self._in_use.setdefault(key, _Entry())
+        # A life that came back has the permit of the one before: they are not two.
+        entry.holders[sender] = (life, now_us + self._lease_us)
+        return Say(*key, True, place, 0)
+
+    def _queue_up(self, now_us: int, key: Key, sender: str, place: tuple[int, int]) -> tuple[int, int] | None:
+        """The place in the queue: what a former owner gave still counts, before all that came later."""
+        waiting = self._queue.get((key, sender))
+        if waiting is None:
+            if len(self._queue) >= MOST_ENTRIES:
+                return None
+            if place == (0, 0):
+                self._count += 1
+                place = (self.term, self._count)
+            waiting = self._queue[(key, sender)] = _Waiting(place, 0)
+        waiting.until_us = now_us + self._lease_us
+        return waiting.place
+
+    def _ahead(self, key: Key, place: tuple[int, int]) -> int:
+        """Other things of the kind that wait with an earlier place."""
+        before = {k for (k, _), w in self._queue.items() if k[0] == key[0] and k != key and w.place < place}
+        return len(before - self._in_use.keys())
+
+    def _why(self, now_us: int, kind: str) -> str:
+        if now_us < self.open_us:
+            return f"a new owner listens for {(self.open_us - now_us) / SECOND:.1f} s more"
+        used = sorted(subject for k, subject in self._in_use if k == kind)
+        return f"{len(used)} of {self.limit(kind)} in use: {', '.join(used[:5])}"
+
+    def used(self, kind: str) -> int:
+        return sum(1 for k, _ in self._in_use if k == kind)
+
+    def _sweep(self, now_us: int) -> None:
+        for key, entry in list(self._in_use.items()):
+            for name, (_, until_us) in list(entry.holders.items()):
+                if now_us >= until_us:
+                    del entry.holders[name]
+            if not entry.holders:
+                del self._in_use[key]
+        for waiting, told in list(self._queue.items()):
+            if now_us >= told.until_us:
+                del self._queue[waiting]
+
+    def table(self, now_us: int) -> list[dict[str, object]]:
+        """Who holds what and who waits, for staff."""
+        self._sweep(now_us)
+        rows: list[dict[str, object]] = [
+            {
+                "kind": kind,
+                "subject": subject,
+                "holder": name,
+                "state": "held",
+                "ends_in_s": _s(until - now_us),
+            }
+            for (kind, subject), entry in sorted(self._in_use.items())
+            for name, (_, until) in sorted(entry.holders.items())
+        ]
+        waiting = sorted(self._queue.items(), key=lambda item: item[1].place)
+        return rows + [
+            {"kind": key[0], "subject": key[1], "holder": name, "state": "waiting", "ends_in_s": None}
+            for (key, name), _ in waiting
+        ]
+
+
+def _s(us: int) -> float:
+    return round(us / SECOND, 3)
+
+
+@dataclass(slots=True)
+class Wanted:
+    """What one node wants or holds."""
+
+    kind: str
+    subject: str
+    state: str = "want"  # want, held, back
+    place: tuple[int, int] = (0, 0)
+    until_us: int = 0  # held until then
+    next_us: int = 0  # when to ask again
+    why: str = "not asked yet"
+    ahead: int = 0
+    back_until_us: int = 0  # a permit given back is said so until answered, or until it has ended anyway
+
+
+@dataclass(frozen=True, slots=True)
+class Use:
+    """A permit is this node's, or is not any more."""
+
+    kind: str
+    subject: str
+    yes: bool
+    why: str = ""
+
+
+class PermitHolder:
+    """The side of those who ask: what this node wants, holds, and until when, by its own clock."""
+
+    def __init__(self, terms: PermitsTerms) -> None:
+        self._terms = terms
+        self._lease_us = int(terms.lease_s * SECOND)
+        self.wanted: dict[Key, Wanted] = {}
+        self.uses: list[Use] = []  # for whoever drives this; emptied by him
+
+    @property
+    def ask_us(self) -> int:
+        return min(SECOND, self._lease_us // SAYS)
+
+    def want(self, kind: str, subject: str) -> Wanted:
+        key = (kind, subject)
+        wanted = self.wanted.get(key)
+        if wanted is None or wanted.state == "back":
+            wanted = self.wanted[key] = Wanted(kind, subject)
+        return wanted
+
+    def give_back(self, now_us: int, kind: str, subject: str) -> None:
+        wanted = self.wanted.get((kind, subject))
+        if wanted is None or wanted.state == "back":
+            return
+        if wanted.state == "held":
+            self.uses.append(Use(kind, subject, False, "given back"))
+        wanted.state, wanted.next_us, wanted.until_us = "back", now_us, 0
+        wanted.back_until_us = now_us + self._lease_us
+
+    def holds(self, kind: str, subject: str, now_us: int) -> bool:
+        wanted = self.wanted.get((kind, subject))
+        return wanted is not None and wanted.state == "held" and now_us < wanted.until_us
+
+    def due_us(self, now_us: int) -> int:
+        """When `turn` wants to be called next."""
+        due_us = now_us + SECOND
+        for wanted in self.wanted.values():
+            due_us = min(due_us, wanted.next_us, wanted.until_us or due_us)
+        return due_us
+
+    def turn(self, now_us: int) -> list[Want]:
+        """What is to be asked of the owner now."""
+        wants: list[Want] = []
+        for key, wanted in list(self.wanted.items()):
+            if wanted.state == "held" and now_us >= wanted.until_us:
+                # Whoever gives permits counts it as free from now on: it is used no longer, and asked for
+                # anew.
+                wanted.state, wanted.until_us = "want", 0
+                self.uses.append(Use(*key, False, "lapsed: its owner was not heard of in time"))
+            if wanted.state == "back" and now_us >= wanted.back_until_us:
+                del self.wanted[key]
+                continue
+            if now_us >= wanted.next_us and len(wants) < AT_ONCE:
+                wanted.next_us = now_us + self.ask_us
+                wants.append(Want(*key, wanted.state, wanted.place))
+        return wants
+
+    def told(self, now_us: int, sent_us: int, asked: Want, say: Say) -> None:
+        """The owner's answer to what was asked at `sent_us`."""
+        key = (say.kind, say.subject)
+        wanted = self.wanted.get(key)
+        if wanted is None or (asked.kind, asked.subject) != key:
+            return
+        if wanted.state == "back":
+            if asked.state == "back":
+                del self.wanted[key]
+            return
+        if asked.state == "back":
+            return
+        wanted.place, wanted.ahead, wanted.why = say.place, say.ahead, say.why
+        until_us = sent_us + int(self._lease_us * (1 - 2 * DRIFT))
+        if say.yes and now_us < until_us:
+            if wanted.state != "held":
+                self.uses.append(Use(*key, True))
+            wanted.state, wanted.until_us = "held", max(wanted.until_us, until_us)
+        elif not say.yes and wanted.state == "held" and asked.state == "held":
+            # Its owner knows nothing of it: it has ended there.
+            wanted.state, wanted.until_us = "want", 0
+            self.uses.append(Use(*key, False, say.why or "not known to its owner"))
--- /dev/null
+++ b/sailrun/owners/quorum.py
@@ -0,0 +1,54 @@
+"""Whose word counts: the voters, and while one of them is exchanged, the voters before as well."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+
+from sailrun.owners.terms import OwnersTerms
+
+
+class Voters:
+    """A majority is one of the voters, and of those before where they are named: any two of two neighbouring
+    stages have a voter in common.
+    """
+
+    def __init__(self, terms: OwnersTerms, off: frozenset[str] = frozenset()) -> None:
+        self._sets = [terms.voters, *([terms.voters_before] if terms.voters_before else [])]
+        self.stage = terms.stage
+        self._off = off
+
+    def all(self) -> list[str]:
+        """Every voter's name, by name."""
+        return sorted({name for names in self._sets for name in names})
+
+    def majority(self, names: Collection[str]) -> bool:
+        if "majority" in self._off:
+            return bool(names)
+        return all(2 * sum(1 for n in voters if n in names) > len(voters) for voters in self._sets)
+
+    def allows(self, stage: int) -> bool:
+        """Whether a voter may grant to one that counts the voters of another stage: the next one, never an
+        older one, nor any further off, whose majorities might have nobody in common with these.
+        """
+        return self.stage <= stage <= self.stage + 1
+
+    def ends(self, until: dict[str, int]) -> int:
+        """When the latest time has come that a majority stands for; 0: no majority."""
+        ends = []
+        for voters in self._sets:
+            times = sorted((until[n] for n in voters if n in until), reverse=True)
+            needed = 1 if "majority" in self._off else len(voters) // 2 + 1
+            if len(times) < needed:
+                return 0
+            ends.append(times[needed - 1])
+        return min(ends)
+
+
+def check_voters(voters: Iterable[str]) -> str | None:
+    """What is wrong with a set of voters; None: nothing."""
+    names = list(voters)
+    if len(set(names)) != len(names):
+        return "names a voter twice"
+    if len(names) not in (3, 5, 7):
+        return f"names {len(names)} voters: 3, 5 or 7 are needed, so that there is a majority"
+    return None
--- /dev/null
+++ b/sailrun/owners/reader.py
@@ -0,0 +1,90 @@
+"""One node of a data centre reads the roster, and the others there have the list from it.
+
+Pure. The owner of the task answers with what it knows; a node asks again and again, takes a list that is
+newer
+than its own, and reads the roster itself as soon as the reader was not heard of for some time. An older
+list is
+never taken, whoever tells it; only the roster itself may go back.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from sailrun.owners.terms import ReaderTerms
+
+SECOND = 1_000_000
+
+
+class Has(msgspec.Struct, array_like=True, frozen=True):
+    """A question: which list the asker has, of which source. A revision of -1: none."""
+
+    source: str
+    revision: int
+
+
+class Tells(msgspec.Struct, array_like=True, frozen=True):
+    """The reader's answer. `members`: the whole list in the roster's own form, where the asker's is older."""
+
+    source: str
+    revision: int
+    members: list[dict[str, Any]] | None = None
+
+
+class Reading:
+    """One node's part: what it knows of the roster, and from whom."""
+
+    def __init__(self, source: str, terms: ReaderTerms, now_us: int) -> None:
+        self.source, self._terms = source, terms
+        self.revision = -1
+        self.members: list[dict[str, Any]] = []
+        self.owner = False  # this node reads for the others
+        self.taken = 0
+        self.refused = 0  # lists that were older, or of another source
+        self._heard_us = now_us
+        self._ask_us = now_us
+
+    def reads(self, now_us: int) -> bool:
+        """Whether this node has to read the roster itself."""
+        return self.owner or now_us - self._heard_us >= self._terms.silence_s * SECOND
+
+    def read(self, revision: int, members: list[dict[str, Any]]) -> None:
+        """What the roster itself told: it holds, whatever was known."""
+        self.revision, self.members = revision, members
+
+    def due(self, now_us: int) -> Has | None:
+        """The question for the reader, if it is time for one."""
+        if self.owner or now_us < self._ask_us:
+            return None
+        self._ask_us = now_us + int(self._terms.ask_s * SECOND)
+        return Has(self.source, self.revision)
+
+    def answer(self, content: Any) -> Any:
+        """As the reader; None where there is nothing to tell."""
+        try:
+            has = msgspec.convert(content, Has)
+        except msgspec.ValidationError:
+            return None
+        if self.revision < 0 or has.source != self.source:
+            return None
+        members = self.members if has.revision < self.revision else None
+        return msgspec.to_builtins(Tells(self.source, self.revision, members))
+
+    def told(self, now_us: int, content: Any) -> list[dict[str, Any]] | None:
+        """The reader's answer; returns the list where it is newer than what is known here."""
+        try:
+            tells = msgspec.convert(content, Tells)
+        except msgspec.ValidationError:
+            self.refused += 1
+            return None
+        if tells.source != self.source or tells.revision < self.revision:
+            self.refused += 1  # and it counts as silence: this node will ask the roster itself
+            return None
+        self._heard_us = now_us
+        if tells.members is None or tells.revision == self.revision:
+            return None
+        self.revision, self.members = tells.revision, tells.members
+        self.taken += 1
+        return tells.members
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,161 @@
+"""Members in virtual time: joining, suspicion and refutation, names claimed twice, fleets that must not
+mix.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import suppress
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sailrun.lab.faults.play import agent_terms
+from sailrun.lab.faults.virtual import VirtualFleet
+from sailrun.members.messages import Record, State
+from sailrun.members.swim import Members
+from sailrun.members.terms import MembersTerms
+from sailrun.owners.envelope import LONGEST_DATAGRAM, BadMessage, unpack
+
+SECOND = 1_000_000
+
+
+def fleet(nodes: int, seed: int = 1) -> VirtualFleet:
+    made = VirtualFleet(nodes, 3, 1, lambda n, voters, joins: agent_terms(n, voters, joins, False), seed)
+    made.begin()
+    return made
+
+
+def members_of(made: VirtualFleet) -> Iterator[Members]:
+    return (n.agent.members for n in made.nodes.values() if n.agent is not None)
+
+
+def views(made: VirtualFleet) -> set[tuple[str, ...]]:
+    return {tuple(r.name for r in members.living()) for members in members_of(made)}
+
+
+@pytest.mark.parametrize("nodes", [3, 12, 40])
+def test_all_meet_by_one_address_and_know_the_same(nodes: int) -> None:
+    made = fleet(nodes)
+    made.run(10.0)
+    assert views(made) == {tuple(sorted(made.names))}
+    assert len({members.digest() for members in members_of(made)}) == 1
+
+
+def test_one_that_was_killed_is_known_gone_everywhere_and_comes_back_above() -> None:
+    made = fleet(7)
+    made.run(5.0)
+    made.kill("n4")
+    made.run(16.0)
+    assert views(made) == {tuple(sorted(set(made.names) - {"n4"}))}
+    made.start("n4")
+    made.run(20.0)
+    assert views(made) == {tuple(sorted(made.names))}
+    assert {m.record("n4").incarnation for m in members_of(made)} == {2}  # type: ignore[union-attr]
+
+
+def test_one_that_leaves_is_known_to_have_left_at_once() -> None:
+    made = fleet(7)
+    made.run(5.0)
+    made.leave("n4")
+    made.run(7.0)
+    left = {m.record("n4").state for m in members_of(made)}  # type: ignore[union-attr]
+    assert left == {State.LEFT}
+
+
+def test_a_paused_process_accuses_nobody_when_it_wakes() -> None:
+    made = fleet(6)
+    made.run(5.0)
+    stop = made.stop("n2")
+    made.run(5.6)
+    made.go_on("n2", stop)
+    before = len(made.rows)
+    made.run(15.0)
+    accused = [r for r in made.rows[before:] if r["kind"] == "member" and r["what"] in ("suspect", "gone")]
+    assert {r["name"] for r in accused} <= {"n2"}
+
+
+def test_two_sides_of_a_cut_find_each_other_again() -> None:
+    made = fleet(6)
+    made.run(5.0)
+    cut = made.cut(made.names[:3], made.names[3:])
+    made.run(25.0)
+    assert views(made) == {("n0", "n1", "n2"), ("n3", "n4", "n5")}
+    made.heal(cut)
+    made.run(40.0)
+    assert views(made) == {tuple(made.names)}
+
+
+def test_false_alarms_are_refuted_where_a_tenth_is_lost() -> None:
+    made = fleet(8)
+    made.weather(0.10, (1_000, 200_000), 0.02)
+    made.run(60.0)
+    assert not [r for r in made.rows if r["kind"] == "member" and r["what"] == "gone"]
+
+
+def test_a_name_is_not_given_to_a_second_process_while_the_first_lives_and_both_say_so() -> None:
+    made = fleet(4)
+    made.run(5.0)
+    second = Record("n2", 77, 1, State.ALIVE, "10.0.0.99:1", "z0")
+    impostor = Members(second, MembersTerms(join=("10.0.0.0:1",)), 1, 0)
+    holder, asked = made.nodes["n2"].agent, made.nodes["n0"].agent
+    assert holder is not None and asked is not None
+    now_us = made.clock_us(made.nodes["n0"])
+    (join,) = impostor.turn(now_us)
+    refused, passed_on = asked.members.hear(now_us, second, join.body)
+    impostor.hear(now_us, asked.members.me, refused.body)
+    assert [c.what for c in impostor.changes] == ["refused"] and not impostor.joined
+    holder.members.hear(now_us, asked.members.me, passed_on.body)
+    assert [c.what for c in holder.members.changes] == ["claimed"]
+    made.run(10.0)
+    assert all(m.record("n2").life != 77 for m in members_of(made))  # type: ignore[union-attr]
+
+
+def test_messages_of_another_fleet_and_of_strangers_are_dropped_and_counted() -> None:
+    made = fleet(3)
+    made.run(5.0)
+    agent = made.nodes["n0"].agent
+    other = made.nodes["n1"].agent
+    assert agent is not None and other is not None
+    (out, *_) = other._mail(other.members.leave(made.clock_us(made.nodes["n1"])))
+    now_us = made.clock_us(made.nodes["n0"])
+    foreign = msgspec.structs.replace(out.envelope, fleet="another")
+    assert agent.hear(now_us, "10.0.0.1:1", foreign) == [] and agent.tallies.wrong_fleet == 1
+    stranger = msgspec.structs.replace(out.envelope, sender="nobody", news=[])
+    before = agent.members.stray
+    agent.hear(now_us, "10.0.0.77:1", stranger)
+    assert agent.members.stray == before + 1 and agent.members.record("nobody") is None
+
+
+@given(st.binary(max_size=LONGEST_DATAGRAM))
+def test_whatever_comes_is_an_envelope_or_a_bad_message(data: bytes) -> None:
+    with suppress(BadMessage):
+        unpack(data)
+
+
+RECORDS = st.builds(
+    Record,
+    st.sampled_from(["a", "b"]),
+    st.integers(1, 2),
+    st.integers(1, 3),
+    st.sampled_from(list(State)),
+    st.just("10.0.0.9:1"),
+)
+
+
+@given(st.lists(RECORDS, max_size=8), st.randoms(use_true_random=False))
+def test_what_is_known_does_not_hang_on_the_order_it_was_heard_in(
+    records: list[Record], luck: object
+) -> None:
+    # What was never heard alive is not remembered as ended: so each is, first, in an older incarnation.
+    first = [Record(name, 1, 0, State.ALIVE, "10.0.0.9:1") for name in ("a", "b")]
+    shuffled = records[:]
+    luck.shuffle(shuffled)  # type: ignore[attr-defined]
+    views = []
+    for order in (records, shuffled, records + shuffled):
+        members = Members(Record("me", 9, 1, State.ALIVE, "10.0.0.1:1"), MembersTerms(), 1, 0)
+        members.hear_news(0, first + order, "a")
+        views.append([r for r, _ in members.known()])
+    assert views[0] == views[1] == views[2]
