--- a/sailrun/cli.py
+++ b/sailrun/cli.py
@@ -12,6 +12,7 @@
 import typer
 
 from sailrun.config import BadConfig, NodeConfig, read_node_config
+from sailrun.control.cli import app as fleet_app
 from sailrun.lab.cli import app as lab_app
 
 app = typer.Typer(
@@ -22,6 +23,7 @@
 
 config_app = typer.Typer(help="Write and check a sidecar's file.")
 app.add_typer(config_app, name="config")
+app.add_typer(fleet_app, name="fleet")
 app.add_typer(lab_app, name="lab")
 
 ConfigPath = Annotated[
--- a/sailrun/connection.py
+++ b/sailrun/connection.py
@@ -98,9 +98,10 @@
         self._start, self._end = 0, len(data)
         self._passed = self._end if shown else 0
 
-    def peek(self) -> bytes:
-        """What is held, left as it is."""
-        return bytes(self._buffer[self._start : self._end])
+    def peek(self, count: int | None = None) -> bytes:
+        """What is held, or its first bytes, left as it is."""
+        stop = self._end if count is None else min(self._end, self._start + count)
+        return bytes(self._buffer[self._start : stop])
 
     def held(self) -> int:
         return self._end - self._start
--- a/sailrun/control/calls.py
+++ b/sailrun/control/calls.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
 from sailrun.node.counts import Figures
 
-LONGEST_CALL = 512
+LONGEST_CALL = 4096
 PREFIX = "svc"
 
 
@@ -19,12 +20,24 @@
     SET_UP = "set-up"
     DRAIN_ON = "drain-on"
     DRAIN_OFF = "drain-off"
+    FLEET = "fleet"
 
 
 # The calls that name a form server; the others take no argument.
 NAMING = (Verb.SET_DOWN, Verb.SET_UP)
 
 
+# What is asked of the fleet, with how many words the call has.
+_FLEET = (
+    (["members"], 2),
+    (["owners"], 2),
+    (["permits"], 2),
+    (["counts"], 2),
+    (["walk"], 5),
+    (["walked"], 3),
+)
+
+
 class BadCall(ValueError):
     """A line that is no call; says why."""
 
@@ -33,6 +46,7 @@
 class Call:
     verb: Verb
     form_server: str = ""
+    words: tuple[str, ...] = ()  # what is asked of the fleet
 
 
 def parse_call(line: bytes) -> Call:
@@ -47,6 +61,10 @@
         verb = Verb(words[0])
     except ValueError:
         raise BadCall(f"no call '{words[0][:40]}'") from None
+    if verb is Verb.FLEET:
+        if (words[1:2], len(words)) not in _FLEET:
+            raise BadCall("'fleet' takes members, owners, permits, counts, walk NAME MS NODES or walked NAME")
+        return Call(verb, words=tuple(words[1:]))
     wanted = 2 if verb in NAMING else 1
     if len(words) != wanted:
         raise BadCall(f"'{verb.value}' takes {'the id of a form server' if wanted == 2 else 'nothing more'}")
@@ -60,6 +78,11 @@
     return b"fail " + " ".join(why.split()).encode("ascii", "replace") + b"\r\n"
 
 
+def answer(content: object) -> bytes:
+    """An answer of one line of JSON."""
+    return b"ok " + json.dumps(content).encode() + b"\r\n"
+
+
 def show(figures: Figures) -> bytes:
     """The answer to `vars`: one figure a line, counts and gauges as the StatsD line protocol marks them."""
     lines = ["ok", *_lines(figures), "eof"]
--- a/sailrun/control/desk.py
+++ b/sailrun/control/desk.py
@@ -5,18 +5,28 @@
 import contextlib
 import os
 import socket
+from collections.abc import Callable
 from functools import partial
 from itertools import islice
+from typing import TYPE_CHECKING
 
 import anyio
 from anyio.abc import TaskGroup
 
 from sailrun.connection import Connection, Overlong
-from sailrun.control.calls import LONGEST_CALL, OK, BadCall, Call, Verb, fail, parse_call, show
+from sailrun.control.calls import LONGEST_CALL, OK, BadCall, Call, Verb, answer, fail, parse_call, show
 from sailrun.node.core import Node
 from sailrun.node.reply import answer_to
 
+if TYPE_CHECKING:
+    from sailrun.owners.service import FleetPart
+
 SECOND = 1_000_000
+# The kinds of permits, as the fleet names them.
+OUT, DRAIN = "out", "drain"
+_PERMITTED = (Verb.SET_DOWN, Verb.SET_UP, Verb.DRAIN_ON, Verb.DRAIN_OFF)
+# A permit that is not there by then is waited for without the caller.
+PERMIT_BY_US = 700_000
 # So many callers at once. A descriptor for each is held open from the start: a node that may open no more
 # still has them. When all are taken, the oldest callers who have said nothing yet make room.
 CALLERS = 12
@@ -30,8 +40,10 @@
 class Desk:
     """The second address of one node."""
 
-    def __init__(self, node: Node, listener: socket.socket) -> None:
-        self._node, self._listener = node, listener
+    def __init__(
+        self, node: Node, listener: socket.socket, fleet: Callable[[], FleetPart | None] = lambda: None
+    ) -> None:
+        self._node, self._listener, self._fleet = node, listener, fleet
         self._spare: list[int] = []  # descriptors held for callers to come
         self._callers = 0
         self._silent: dict[anyio.CancelScope, None] = {}  # those who have not made their call, oldest first
@@ -123,7 +135,11 @@
         return answer
 
     async def _do(self, call: Call) -> bytes:
-        node = self._node
+        node, fleet = self._node, self._fleet()
+        if call.verb is Verb.FLEET:
+            return await self._of_fleet(fleet, call.words) if fleet is not None else fail("no fleet here")
+        if fleet is not None and fleet.permits and call.verb in _PERMITTED:
+            return await self._permitted(fleet, call)
         match call.verb:
             case Verb.VARS:
                 return show(await answer_to(node.figures))
@@ -136,3 +152,34 @@
             case Verb.DRAIN_ON | Verb.DRAIN_OFF:
                 await answer_to(partial(node.drain, call.verb is Verb.DRAIN_ON))
                 return OK
+
+    async def _of_fleet(self, fleet: FleetPart, words: tuple[str, ...]) -> bytes:
+        match words:
+            case "walk", str(name), str(ms), str(nodes):
+                if not ms.isdigit():
+                    return fail(f"'{ms[:40]}' is no number of milliseconds")
+                names = nodes.split(",")
+                why = await answer_to(partial(fleet.walk, name, names, int(ms) * 1000))
+                return fail(why) if why else OK
+            case "walked", str(name):
+                shown = await answer_to(partial(fleet.show, f"walk {name}"))
+                return fail(f"no walk '{name[:80]}' was begun here") if shown is None else answer(shown)
+        return answer(await answer_to(partial(fleet.show, words[0])))
+
+    async def _permitted(self, fleet: FleetPart, call: Call) -> bytes:
+        """What takes something out of service waits for a permit, and is carried out in its turn."""
+        kind, subject = (OUT, call.form_server) if call.form_server else (DRAIN, fleet.agent.name)
+        if call.verb in (Verb.SET_UP, Verb.DRAIN_OFF):
+            fleet.give_back(kind, subject)
+            if kind == DRAIN:
+                await answer_to(partial(self._node.drain, False))
+                return OK
+            known = await answer_to(partial(self._node.by_hand, subject, False))
+            return OK if known else fail(f"no form server '{subject[:80]}'")
+        why: str | None = None
+        clock = self._node.clock
+        with anyio.CancelScope(deadline=clock.moment(clock.now_us() + PERMIT_BY_US)):
+            why = await answer_to(partial(fleet.ask_permit, kind, subject))
+        if why is None:
+            return fail(fleet.why_not(kind, subject))
+        return fail(why) if why else OK
--- a/sailrun/lab/virtual.py
+++ b/sailrun/lab/virtual.py
@@ -415,8 +415,8 @@
         node = Node(settings, seed, VirtualClock(self.time), known, log, passed)
         node.roster, node.neighbours = NodeRoster(self, slot), Datagrams(self, slot)
         if self._rebalance.enabled:
-            node.rebalancer = WatchedRebalancer(self._rebalance, settings, self.time.now_us)
-            node.rebalancer.moved = slot.moved = {}
+            node.aside.rebalancer = watched = WatchedRebalancer(self._rebalance, settings, self.time.now_us)
+            watched.moved = slot.moved = {}
         self._run_node(slot, node, passed)
 
     def _run_node(self, slot: VirtualSlot, node: Node, passed: State | None) -> None:
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -21,6 +21,7 @@
 from sailrun.fleet.digest import VERSION
 from sailrun.fleet.known import Others
 from sailrun.fleet.rounds import AGE_US, Holding, Outgoing, Rounds
+from sailrun.node.aside import Aside
 from sailrun.node.clock import Clock, log
 from sailrun.node.counts import Counts, Figures
 from sailrun.node.leaving import Leaving, Reason
@@ -81,7 +82,7 @@
         self.roster: Roster | None = None
         self.neighbours: Neighbours | None = None
         self.prober: Prober | None = None
-        self.rebalancer: Rebalancer | None = None  # off on the platform
+        self.aside = Aside(log)
         self.counts = Counts(c.name for c in settings.classes)
         # Everybody is being sent away: to stop, for a drain, or to a successor.
         self.leaving = Leaving(max(c.deadline_us for c in settings.classes))
@@ -213,6 +214,10 @@
         """Sends all households away, and takes none until it is over."""
         self._post(lambda: reply(self._drain(on)))
 
+    def lend(self, share: float, reply: Reply[bool]) -> None:
+        """This node's part of the fleet's pace of moves, 0 to 1; answers whether it moves any households."""
+        self._post(lambda: reply(self.aside.lend(share)))
+
     # What passes between two processes that are one node.
 
     def pass_on(self, reply: Reply[State]) -> None:
@@ -312,7 +317,7 @@
             case i.Refuse():
                 if (session := self._answerable(action.request)) is not None:
                     self._refuse(session, action.retry_after_us)
-                    self._aside(lambda rebalancer: rebalancer.refused(self._now))
+                    self.aside(lambda rebalancer: rebalancer.refused(self._now))
             case i.Fail():
                 if (session := self._answerable(action.request)) is not None:
                     self._fail(session)
@@ -394,7 +399,7 @@
     def _asked(self, session: FormSession) -> None:
         self._sessions[session.id] = session
         if session.resumed_at is None:
-            self._aside(lambda rebalancer: rebalancer.arrived(self._now, session.returning))
+            self.aside(lambda rebalancer: rebalancer.arrived(self._now, session.returning))
         if session.resumed_at is not None:
             named = self._form_servers.get(server_number(session.resumed_at))
             if named is not None and named.name == session.resumed_at:
@@ -432,7 +437,7 @@
         self._part(session)
         resumed = session.resumed_at is not None
         returned, took = session.returning and not resumed, None if resumed else took_us
-        self._aside(lambda rebalancer: self._stands_for(rebalancer, session, number, returned, took))
+        self.aside(lambda rebalancer: self._stands_for(rebalancer, session, number, returned, took))
 
     def _written(self) -> None:
         self.counts.backend_calls += 1
@@ -445,9 +450,9 @@
         if stood:
             self._watches[number].sessions.pop(session.id, None)
             session.stands = False
-            self._aside(lambda rebalancer: rebalancer.ended(self._now, session.id, outcome))
+            self.aside(lambda rebalancer: rebalancer.ended(self._now, session.id, outcome))
         elif outcome is i.Outcome.REJECTED:
-            self._aside(lambda rebalancer: rebalancer.turned_away(self._now, number))
+            self.aside(lambda rebalancer: rebalancer.turned_away(self._now, number))
         session.placement = None
         if outcome not in (i.Outcome.REJECTED, i.Outcome.CONNECT_FAILED, i.Outcome.NOT_SENT):
             session.may_have_run = True
@@ -476,7 +481,7 @@
             self._feed(
                 i.AttemptNotice(session.id, session.placement.attempt, number, i.NoticeKind.LOAD, load)
             )
-            self._aside(lambda rebalancer: rebalancer.loaded(session.id, load))
+            self.aside(lambda rebalancer: rebalancer.loaded(session.id, load))
 
     def _told_delay(self, session: FormSession, value_ms: float) -> None:
         if session.placement is None or not session.stands:
@@ -505,7 +510,7 @@
             self._form_servers[form_server.number] = form_server
         entries = tuple(s.as_backend() for s in news.form_servers)
         takes = tuple(self._as_it_takes(s) for s in news.form_servers)
-        self._aside(lambda rebalancer: rebalancer.listed(self._now, news.kind, takes))
+        self.aside(lambda rebalancer: rebalancer.listed(self._now, news.kind, takes))
         self._feed(i.ListUpdate(news.kind, news.revision, entries))
 
     def _as_it_takes(self, form_server: FormServer) -> i.Backend:
@@ -515,7 +520,7 @@
 
     def _roster_failed(self, why: str) -> None:
         self._log("roster-failed", why=why)
-        self._aside(lambda rebalancer: rebalancer.roster_lost(self._now))
+        self.aside(lambda rebalancer: rebalancer.roster_lost(self._now))
         self._feed(i.ListUpdate(i.ListKind.FAILED))
 
     @property
@@ -559,7 +564,7 @@
         if self._fleet is not None and content[:1] == FLEET:
             self._fleet_says(self._fleet.heard(self._now, neighbour, content, self._holding()))
             return
-        self._aside(lambda rebalancer: rebalancer.heard(self._now, neighbour, content))
+        self.aside(lambda rebalancer: rebalancer.heard(self._now, neighbour, content))
         self._feed(i.PeerMessage(neighbour, content))
 
     # ------------------------------------------------------------------ by the clock
@@ -584,7 +589,7 @@
                 self._feed(i.AttemptNotice(told.id, attempt, number, i.NoticeKind.DELAY, value))
             if watch.at_rest():
                 del self._talking[number]
-        self._aside(self._rebalance)
+        self.aside(self._rebalance)
         if self._now >= self._pulse_us:
             self._pulse_us = self._now + PULSE_US
             self._pulse()
@@ -596,8 +601,8 @@
 
     def _rebalance_with(self, rebalancer: Rebalancer | None) -> None:
         """A new one is told what stands. Whom an old one has moved it can't know: all may be among them."""
-        old, self.rebalancer = self.rebalancer, rebalancer
-        self._aside(lambda one: self._tell_what_stands(one, old))
+        old, self.aside.rebalancer = self.aside.rebalancer, rebalancer
+        self.aside(lambda one: self._tell_what_stands(one, old))
 
     def _tell_what_stands(self, rebalancer: Rebalancer, old: Rebalancer | None) -> None:
         entries = tuple(map(self._as_it_takes, self._form_servers.values()))
@@ -624,18 +629,6 @@
         if session.load_hint:
             rebalancer.loaded(session.id, session.load_hint)
 
-    def _aside(self, call: Callable[[Rebalancer], None]) -> None:
-        """Has the rebalancer told, or asked, if there is one. What only makes things better must not take the
-        node down with it: after a fault of its own it is off.
-        """
-        if self.rebalancer is None:
-            return
-        try:
-            call(self.rebalancer)
-        except Exception:
-            self._log("fault", where="rebalance", trace=traceback.format_exc())
-            self.rebalancer = None
-
     def _rebalance(self, rebalancer: Rebalancer) -> None:
         if not rebalancer.due(self._now):
             return
@@ -692,7 +685,7 @@
             self.on_staff("hand", [name, out])
             if (known := self._form_servers.get(server_number(name))) is not None:
                 entries = (self._as_it_takes(known),)
-                self._aside(lambda rebalancer: rebalancer.listed(self._now, i.ListKind.DELTA, entries))
+                self.aside(lambda rebalancer: rebalancer.listed(self._now, i.ListKind.DELTA, entries))
         return True
 
     def _drain(self, on: bool) -> bool:
@@ -703,7 +696,7 @@
         elif self.leaving.withdraw(Reason.DRAIN):
             self._log("drain-over", sessions=len(self._standing()))
             if not self.leaving:
-                self._aside(lambda rebalancer: rebalancer.leave(False))
+                self.aside(lambda rebalancer: rebalancer.leave(False))
         return True
 
     def _state(self) -> State:
@@ -727,7 +720,7 @@
         if session.unanswered:
             self._talking[number] = watch
         self._resume(session, number)
-        self._aside(lambda rebalancer: self._stands_for(rebalancer, session, number, True, None))
+        self.aside(lambda rebalancer: self._stands_for(rebalancer, session, number, True, None))
         known = self._form_servers.get(number)
         if known is None or self._as_it_takes(known).state is not i.BackendState.READY:
             self._move(session.id, i.Cause.DRAINS)
@@ -782,7 +775,7 @@
 
     def _leave(self, reason: Reason) -> None:
         if self.leaving.begin(reason, self._now):
-            self._aside(lambda rebalancer: rebalancer.leave())
+            self.aside(lambda rebalancer: rebalancer.leave())
             self._log("leaving", reason=reason.value, sessions=len(self._standing()))
 
     def _standing(self) -> list[FormSession]:
--- a/sailrun/operator.py
+++ b/sailrun/operator.py
@@ -9,17 +9,28 @@
 import msgspec
 
 from sailrun.config import BadConfig
+from sailrun.connection import split_address
+from sailrun.members.terms import MembersTerms
+from sailrun.owners.quorum import check_voters
+from sailrun.owners.terms import OwnersTerms, PermitsTerms, ReaderTerms
 from sailrun.rebalance.terms import RebalanceTerms
 
+Table = RebalanceTerms | MembersTerms | OwnersTerms | PermitsTerms | ReaderTerms
+
 
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """One table for each subsystem. What a table leaves out has its default."""
 
     rebalance: RebalanceTerms = RebalanceTerms()
+    members: MembersTerms = MembersTerms()
+    owners: OwnersTerms = OwnersTerms()
+    permits: PermitsTerms = PermitsTerms()
+    reader: ReaderTerms = ReaderTerms()
 
-    def tables(self) -> Iterator[tuple[str, RebalanceTerms]]:
+    def tables(self) -> Iterator[tuple[str, Table]]:
         """Every subsystem's name and terms."""
-        yield "rebalance", self.rebalance
+        for name in self.__struct_fields__:
+            yield name, getattr(self, name)
 
 
 def read_operator(path: Path) -> Operator:
@@ -38,9 +49,75 @@
         raise BadConfig(path, "rebalance.stop_at", f"is {terms.stop_at}, above start_at {terms.start_at}")
     if terms.fill_to > terms.stop_at:
         raise BadConfig(path, "rebalance.fill_to", f"is {terms.fill_to}, above stop_at {terms.stop_at}")
+    for key, what in _fleet_faults(told):
+        raise BadConfig(path, key, what)
     return told
 
 
+def _fleet_faults(told: Operator) -> Iterator[tuple[str, str]]:
+    """What is wrong with the tables of the fleet taken together."""
+    members, owners = told.members, told.owners
+    for name, table in (("owners", owners), ("permits", told.permits), ("reader", told.reader)):
+        needs, there = ("members", members) if name == "owners" else ("owners", owners)
+        if table.enabled and not there.enabled:
+            yield f"{name}.enabled", f"is true, but {needs}.enabled is not"
+    if members.enabled:
+        yield from _member_faults(members)
+    if owners.enabled:
+        yield from _owner_faults(owners)
+        if told.permits.lease_s < 2 * owners.order_s:
+            lease_s, order_s = told.permits.lease_s, owners.order_s
+            yield "permits.lease_s", f"is {lease_s:g}, under twice owners.order_s, which is {order_s:g}"
+
+
+def _member_faults(members: MembersTerms) -> Iterator[tuple[str, str]]:
+    for key in ("name", "listen"):
+        if not getattr(members, key):
+            yield f"members.{key}", "is missing"
+    if any(not (c.isascii() and c.isalnum()) and c not in "._-" for c in members.name):
+        yield "members.name", f"'{members.name}' is not of letters, digits, dots, dashes and underscores"
+    addresses = {"listen": members.listen, "advertise": members.advertise or members.listen}
+    addresses |= {f"join[{n}]": address for n, address in enumerate(members.join)}
+    for key, address in addresses.items():
+        try:
+            split_address(address)
+        except ValueError as error:
+            yield f"members.{key}", str(error)
+
+
+def _owner_faults(owners: OwnersTerms) -> Iterator[tuple[str, str]]:
+    for key, voters in (("voters", owners.voters), ("voters_before", owners.voters_before)):
+        what = check_voters(voters) if voters or key == "voters" else None
+        if what is not None:
+            yield f"owners.{key}", what
+    if owners.voters_before:
+        new, old = set(owners.voters), set(owners.voters_before)
+        if max(len(new - old), len(old - new)) > (1 if len(new) == len(old) else 2) or new == old:
+            yield (
+                "owners.voters_before",
+                "differs from owners.voters by more than one exchanged, or two added",
+            )
+    if owners.lease_s < 2 * owners.order_s:
+        yield "owners.lease_s", f"is {owners.lease_s:g}, under twice order_s, which is {owners.order_s:g}"
+
+
+def voters_follow(before: OwnersTerms, after: OwnersTerms) -> str | None:
+    """What is wrong with a change of voters in a running node; None: nothing. A majority of the new voters
+    and
+    one of the old have a voter in common only by way of a stage in which both are asked.
+    """
+    if not (before.enabled and after.enabled) or (
+        (before.voters, before.voters_before) == (after.voters, after.voters_before)
+    ):
+        return None
+    if after.stage != before.stage + 1:
+        return "owners.revision: the voters change by one stage at a time; name the old ones in voters_before"
+    kept = before.voters if after.voters_before else after.voters
+    if kept != (after.voters_before or before.voters):
+        return "owners.voters: are not those that the stage before names"
+    return None
+
+
 def schema() -> dict[str, Any]:
     """The JSON schema of the file, for editors and other tools."""
     return msgspec.json.schema(Operator)
--- /dev/null
+++ b/sailrun/owners/carrier.py
@@ -0,0 +1,255 @@
+"""Drives one agent by real sockets: datagrams for what is small, one framed link to a member for the rest.
+
+One task owns the agent; readers, links and the core only put calls into its queue. Whatever is made under
+a term
+is checked against the clock again right before its system call, after whatever wait came between.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import socket
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from sailrun.connection import (
+    Connection,
+    Overlong,
+    accept,
+    connect,
+    listen,
+    new_socket,
+    show_address,
+    split_address,
+)
+from sailrun.node.clock import log
+from sailrun.owners.agent import Agent, Out
+from sailrun.owners.clock import boot_us
+from sailrun.owners.envelope import LONGEST_DATAGRAM, LONGEST_FRAME, BadMessage, pack, unpack
+
+SECOND = 1_000_000
+# Frames that wait for one link, and links that are open, each way.
+MOST_QUEUED, MOST_LINKS = 4, 64
+# A link that is not set up, or has carried nothing, within this is ended.
+LINK_S, IDLE_S = 2.0, 30.0
+# Datagrams read in one go before others get their turn.
+AT_ONCE = 64
+_HEAD = 4
+
+
+class Carrier:
+    """The sockets of one member."""
+
+    def __init__(self, agent: Agent, address: tuple[str, int], patient: bool) -> None:
+        """Patient: where the address is taken by a predecessor that is about to end, it is tried for again;
+        otherwise that raises OSError.
+        """
+        self.agent = agent
+        self._address, self._patient = address, patient
+        self._calls: deque[Callable[[], list[Out]]] = deque()
+        self._called = anyio.Event()
+        self._links: dict[str, _Link] = {}
+        self._accepted = 0
+        self.bytes_out = 0
+        self.bad_frames = 0
+        self._sockets: tuple[socket.socket, socket.socket] | None = None
+        self.ends = False  # after what is to be sent now, the address is given up
+        # After each turn of the agent: what has changed is acted on.
+        self.after: Callable[[int], list[Out]] = lambda now_us: []
+        try:
+            self._sockets = self._bind()
+        except OSError as error:
+            if not patient or error.errno != errno.EADDRINUSE:
+                raise
+
+    def _bind(self) -> tuple[socket.socket, socket.socket]:
+        datagrams = new_socket(self._address[0], socket.SOCK_DGRAM)
+        try:
+            datagrams.bind(self._address)
+            return datagrams, listen(self._address)
+        except BaseException:
+            datagrams.close()
+            raise
+
+    def post(self, call: Callable[[int], list[Out]]) -> None:
+        """Has the agent's task call this with the time, and send what it returns."""
+        self._calls.append(lambda: call(boot_us()))
+        self._called.set()
+
+    def close(self) -> None:
+        for sock in self._sockets or ():
+            if sock.fileno() >= 0:
+                with contextlib.suppress(RuntimeError):  # no event loop runs yet
+                    anyio.notify_closing(sock)
+                sock.close()
+
+    async def run(self) -> None:
+        while self._sockets is None:
+            await anyio.sleep_until(anyio.current_time() + 0.2)
+            with contextlib.suppress(OSError):
+                self._sockets = self._bind()
+        datagrams, listener = self._sockets
+        try:
+            async with anyio.create_task_group() as group:
+                self._group = group
+                group.start_soon(self._read, datagrams)
+                group.start_soon(self._accept, listener, group)
+                await self._own(datagrams)
+                group.cancel_scope.cancel()
+        finally:
+            self.close()
+
+    # ------------------------------------------------------------------ the task that owns the agent
+
+    async def _own(self, datagrams: socket.socket) -> None:
+        while True:
+            now_us = boot_us()
+            due_us = self.agent.due_us(now_us)
+            with anyio.CancelScope(deadline=anyio.current_time() + max(1_000, due_us - now_us) / SECOND):
+                await self._called.wait()
+            self._called = anyio.Event()
+            while self._calls:
+                self._send(datagrams, self._calls.popleft()())
+            if self.ends:
+                return
+            now_us = boot_us()
+            self._send(datagrams, self.agent.turn(now_us))
+            self._send(datagrams, self.after(now_us))
+            for what, facts in self.agent.notes:
+                log(what, **facts)
+            self.agent.notes.clear()
+
+    def _send(self, datagrams: socket.socket, outs: list[Out]) -> None:
+        for out in outs:
+            data = pack(out.envelope)
+            if len(data) > LONGEST_DATAGRAM:
+                self._by_link(out, data)
+                continue
+            # The clock is looked at last of all.
+            if out.guard is not None and not self.agent.still(out.guard, boot_us()):
+                continue
+            try:
+                datagrams.sendto(data, split_address(out.address))
+                self.bytes_out += len(data)
+            except (OSError, ValueError):
+                pass  # as if it were lost
+
+    # ------------------------------------------------------------------ what comes in
+
+    async def _read(self, datagrams: socket.socket) -> None:
+        while True:
+            await anyio.wait_readable(datagrams)
+            for _ in range(AT_ONCE):
+                try:
+                    data, sender = datagrams.recvfrom(LONGEST_DATAGRAM + 1)
+                except OSError:
+                    break
+                self._came(data, show_address(sender[:2]))
+            await anyio.sleep(0)
+
+    def _came(self, data: bytes, address: str) -> bool:
+        try:
+            envelope = unpack(data)
+        except BadMessage:
+            self.agent.tallies.bad_messages += 1
+            return False
+        self.post(lambda now_us: self.agent.hear(now_us, address, envelope))
+        return True
+
+    async def _accept(self, listener: socket.socket, group: TaskGroup) -> None:
+        while True:
+            try:
+                sock = await accept(listener)
+            except OSError:
+                await anyio.sleep_until(anyio.current_time() + 0.1)  # no descriptors: others go first
+                continue
+            if self._accepted >= MOST_LINKS:
+                sock.close()
+                continue
+            self._accepted += 1
+            group.start_soon(self._hear_link, Connection(sock, LONGEST_FRAME + _HEAD))
+
+    async def _hear_link(self, link: Connection) -> None:
+        """Reads frames until one is none, the other side ends, or nothing comes for long."""
+        try:
+            with contextlib.suppress(OSError, Overlong):
+                while True:
+                    with anyio.CancelScope(deadline=anyio.current_time() + IDLE_S) as waiting:
+                        data = await _frame(link)
+                    if waiting.cancelled_caught or data is None:
+                        return
+                    if not self._came(data, show_address(link.sock.getpeername()[:2])):
+                        self.bad_frames += 1
+                        log("link-ended", reason="bad-frame", peer=show_address(link.sock.getpeername()[:2]))
+                        return
+        finally:
+            link.close()
+            self._accepted -= 1
+
+    # ------------------------------------------------------------------ links
+
+    def _by_link(self, out: Out, data: bytes) -> None:
+        link = self._links.get(out.address)
+        if link is None:
+            if len(self._links) >= MOST_LINKS:
+                return  # asked for again
+            link = self._links[out.address] = _Link()
+            self._group.start_soon(self._run_link, out.address, link)
+        if len(link.queue) < MOST_QUEUED:
+            link.queue.append((data, out.guard))
+            link.filled.set()
+
+    async def _run_link(self, address: str, link: _Link) -> None:
+        connection: Connection | None = None
+        try:
+            with anyio.CancelScope(deadline=anyio.current_time() + LINK_S):
+                connection = await connect(split_address(address))
+            while connection is not None:
+                with anyio.CancelScope(deadline=anyio.current_time() + IDLE_S) as idle:
+                    while not link.queue:
+                        link.filled = anyio.Event()
+                        await link.filled.wait()
+                if idle.cancelled_caught:
+                    return
+                data, guard = link.queue.popleft()
+                if guard is not None and not self.agent.still(guard, boot_us()):
+                    continue
+                with anyio.CancelScope(deadline=anyio.current_time() + LINK_S) as writing:
+                    await connection.write(len(data).to_bytes(_HEAD, "big") + data)
+                if writing.cancelled_caught:
+                    return  # half a frame may be out
+                self.bytes_out += len(data) + _HEAD
+        except (OSError, ValueError):
+            pass  # what waits is dropped, and asked for again
+        finally:
+            self._links.pop(address, None)
+            if connection is not None:
+                connection.close()
+
+
+class _Link:
+    """What waits to go out to one member."""
+
+    def __init__(self) -> None:
+        self.queue: deque[tuple[bytes, tuple[str, int] | None]] = deque()
+        self.filled: Any = anyio.Event()
+
+
+async def _frame(link: Connection) -> bytes | None:
+    """The next frame's content; None where the other side has ended. Raises Overlong for one too long."""
+    while link.held() < _HEAD:
+        if not await link.fill():
+            return None
+    length = int.from_bytes(link.peek(_HEAD), "big")
+    if length > LONGEST_FRAME:
+        raise Overlong(f"a frame of {length} bytes")
+    while link.held() < _HEAD + length:
+        if not await link.fill():
+            return None
+    link.take(_HEAD)
+    return link.take(length)
--- /dev/null
+++ b/sailrun/owners/pace.py
@@ -0,0 +1,72 @@
+"""The pace at which households are moved for balance, shared out by one owner: no node guesses what others
+do.
+
+Shares are lent for a short time and never add up to more than the whole: what was lent counts until it has
+ended,
+and a new owner lends nothing until all that the one before may have lent has ended.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from sailrun.owners.terms import DRIFT
+
+SECOND = 1_000_000
+# A share lasts for so long from when it was asked for; it is asked for this often while households are moved.
+LENT_US, ASK_US = 2 * SECOND, 500_000
+
+
+class Lent(msgspec.Struct, array_like=True, frozen=True):
+    """The answer: this part of the whole pace, 0 to 1."""
+
+    share: float
+
+
+class PaceOffice:
+    """The owner's side, made anew at each term."""
+
+    def __init__(self, term: int, now_us: int) -> None:
+        self.term = term
+        self._open_us = now_us + int(LENT_US * (1 + 3 * DRIFT))
+        self._lent: dict[str, list[tuple[float, int]]] = {}  # by node: shares it may use, and until when
+
+    def asked(self, now_us: int, sender: str) -> Any:
+        """Lends an even share, as far as there is any left."""
+        for name, lent in list(self._lent.items()):
+            self._lent[name] = [one for one in lent if one[1] > now_us]
+            if not self._lent[name] and name != sender:
+                del self._lent[name]
+        if now_us < self._open_us:
+            return msgspec.to_builtins(Lent(0.0))
+        # The answer may be lost, and what was lent before used to its end: the largest counts.
+        others = sum(max(share for share, _ in lent) for name, lent in self._lent.items() if name != sender)
+        share = max(0.0, min(1.0 / len(self._lent.keys() | {sender}), 1.0 - others))
+        self._lent.setdefault(sender, []).append((share, now_us + LENT_US))
+        return msgspec.to_builtins(Lent(share))
+
+
+class PaceShare:
+    """The asker's side: what it was lent, until when."""
+
+    def __init__(self) -> None:
+        self._share, self._until_us, self._ask_us = 0.0, 0, 0
+
+    def due(self, now_us: int) -> bool:
+        if now_us < self._ask_us:
+            return False
+        self._ask_us = now_us + ASK_US
+        return True
+
+    def told(self, sent_us: int, content: Any) -> None:
+        try:
+            lent = msgspec.convert(content, Lent)
+        except msgspec.ValidationError:
+            return
+        self._share, self._until_us = lent.share, sent_us + int(LENT_US * (1 - 2 * DRIFT))
+
+    def share(self, now_us: int) -> float:
+        """0 where nothing was lent, or it has ended."""
+        return self._share if now_us < self._until_us else 0.0
--- /dev/null
+++ b/sailrun/owners/service.py
@@ -0,0 +1,349 @@
+"""What a running node has of the fleet: its agent, its carrier, and what owners let it do.
+
+Nothing here is on a household's path: the core is told what it may do, and goes on as it is where nobody
+tells it.
+"""
+
+from __future__ import annotations
+
+import random
+import secrets
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from sailrun.config import NodeConfig, ServerRoster
+from sailrun.connection import split_address
+from sailrun.members.messages import Record, State
+from sailrun.node.clock import log
+from sailrun.owners.agent import PACE, Agent, AgentTerms, Out
+from sailrun.owners.carrier import Carrier
+from sailrun.owners.clock import boot_us
+from sailrun.owners.founding import founding_term
+from sailrun.owners.pace import PaceOffice, PaceShare
+from sailrun.owners.permits import DRAIN, OUT, Use
+from sailrun.owners.permits import TASK as PERMITS
+from sailrun.owners.shared import SharedRoster
+from sailrun.owners.tenure import Turned
+
+if TYPE_CHECKING:
+    from sailrun.node.core import Node
+    from sailrun.operator import Operator
+
+SECOND = 1_000_000
+# While a node drains for a walk, it is looked at this often whether it is empty.
+LOOK_US = 200_000
+
+
+def agent_terms(operator: Operator) -> AgentTerms:
+    """The agent's part of an operator's file."""
+    pace = operator.rebalance.enabled and operator.owners.enabled
+    return AgentTerms(operator.members, operator.owners, operator.permits, operator.reader, pace)
+
+
+class FleetPart:
+    """One node's part in its fleet."""
+
+    def __init__(self, node: Node, config: NodeConfig, patient: bool) -> None:
+        """Raises OSError for an address that is not to be had, unless a predecessor is about to give it
+        up.
+        """
+        assert config.operator is not None
+        terms = agent_terms(config.operator)
+        told = terms.members
+        self._node = node
+        me = Record(
+            told.name,
+            secrets.randbits(62),
+            1,
+            State.ALIVE,
+            told.advertise or told.listen,
+            config.settings.zone,
+        )
+        record = _record if terms.owners.record else _forget
+        self.agent = Agent(me, terms, secrets.randbits(32), boot_us(), _founding, record=record)
+        self.agent.on_use = self._used
+        self.agent.on_turned = self._turned
+        self.carrier = Carrier(self.agent, split_address(told.listen), patient)
+        self.carrier.after = self._after
+        self._shared: SharedRoster | None = None
+        self._by_hand: dict[str, bool] = {}  # form servers that a permit was asked for: whether it is in use
+        self._waiting: dict[tuple[str, str], list[Callable[[str], None]]] = {}
+        self._pace_office: PaceOffice | None = None
+        self._pace = PaceShare()
+        self._share, self._wants_pace = -1.0, False
+        self._look_us = 0
+        self._drain_by_hand = False
+        if terms.pace:
+            self.agent.answers[PACE] = self._lend
+
+    def roster(self, source: ServerRoster, revision: int) -> SharedRoster | None:
+        """What the core has for a roster; None: the roster itself."""
+        if not self.agent.terms.reader.enabled:
+            return None
+        self._shared = SharedRoster(self._node, source, revision, self.agent, self.carrier)
+        return self._shared
+
+    async def run(self) -> None:
+        await self.carrier.run()
+
+    def leave(self) -> None:
+        """The process ends: what is owned is handed over at once."""
+        self.carrier.post(self.agent.leave)
+
+    def give_up(self) -> None:
+        """A successor takes the name and the address over."""
+        self.carrier.post(self._give_up)
+
+    def _give_up(self, now_us: int) -> list[Out]:
+        self.carrier.ends = True
+        if self._shared is not None:
+            self._shared.alone()
+        return self.agent.leave(now_us)
+
+    def use(self, terms: AgentTerms) -> None:
+        """Takes over an operator's file that was read again."""
+
+        def call(now_us: int) -> list[Out]:
+            self.agent.use_terms(now_us, terms)
+            return []
+
+        self.carrier.post(call)
+
+    # ------------------------------------------------------------------ after each turn
+
+    def _after(self, now_us: int) -> list[Out]:
+        outs: list[Out] = []
+        if self._shared is not None:
+            outs += self._shared.turn(now_us)
+        if self.agent.walks.drain is not None:
+            on, self.agent.walks.drain = self.agent.walks.drain, None
+            self._node.drain(on, lambda done: None)
+        if self.agent.walks.draining and now_us >= self._look_us:
+            self._look_us = now_us + LOOK_US
+            self._node.figures(lambda figures: self._standing(figures.inflight))
+        if self.agent.terms.pace:
+            outs += self._ask_pace(now_us)
+        return outs
+
+    def _standing(self, sessions: int) -> None:
+        def call(now_us: int) -> list[Out]:
+            self.agent.walks.standing(now_us, sessions)
+            return []
+
+        self.carrier.post(call)
+
+    def _turned(self, now_us: int, turned: Turned) -> None:
+        if turned.task == PACE:
+            self._pace_office = PaceOffice(turned.term, now_us) if turned.mine else None
+
+    # ------------------------------------------------------------------ the rebalancer's pace
+
+    def _lend(self, now_us: int, sender: str, content: Any) -> Any:
+        return self._pace_office.asked(now_us, sender) if self._pace_office is not None else None
+
+    def _ask_pace(self, now_us: int) -> list[Out]:
+        share = self._pace.share(now_us)
+        if not self._pace.due(now_us):
+            return []
+        # Whether any is wanted is the core's to say; what it says counts from the next time on.
+        self._node.lend(share, self._moving)
+        if (share > 0) is not (self._share > 0) or self._share < 0:
+            log("pace", share=round(share, 3))
+        self._share = share
+        if not self._wants_pace:
+            return []
+
+        def answered(now_us: int, sent_us: int, content: Any) -> None:
+            self._pace.told(sent_us, content)
+
+        return self.agent.ask(now_us, PACE, [], answered)
+
+    def _moving(self, wanted: bool) -> None:
+        self._wants_pace = wanted
+
+    # ------------------------------------------------------------------ permits
+
+    def _used(self, use: Use) -> None:
+        """A permit came or went; the core is told, and whoever waits for the answer."""
+        if use.kind == OUT and use.subject in self._by_hand:
+            self._by_hand[use.subject] = use.yes
+
+            def done(known: bool) -> None:
+                if use.yes and not known:
+                    self.carrier.post(lambda now_us: self._drop(now_us, OUT, use.subject))
+                answer = "" if known or not use.yes else f"no form server '{use.subject[:80]}'"
+                self._answer(OUT, use.subject, answer if use.yes else use.why)
+
+            self._node.by_hand(use.subject, use.yes, done)
+        if use.kind == DRAIN and self._drain_by_hand:
+            self._node.drain(
+                use.yes, lambda done: self._answer(DRAIN, use.subject, "" if use.yes else use.why)
+            )
+
+    def _answer(self, kind: str, subject: str, why: str) -> None:
+        for reply in self._waiting.pop((kind, subject), ()):
+            reply(why)
+
+    def _drop(self, now_us: int, kind: str, subject: str) -> list[Out]:
+        if self.agent.holder is not None:
+            self.agent.holder.give_back(now_us, kind, subject)
+        self._by_hand.pop(subject, None)
+        return []
+
+    @property
+    def permits(self) -> bool:
+        return self.agent.holder is not None
+
+    def ask_permit(self, kind: str, subject: str, reply: Callable[[str], None]) -> None:
+        """`reply` is called with "" once it is in use, or with why it is not; it may not be called in
+        time.
+        """
+
+        def call(now_us: int) -> list[Out]:
+            holder = self.agent.holder
+            if holder is None:
+                reply("permits are off")
+                return []
+            if kind == OUT:
+                self._by_hand.setdefault(subject, False)
+            else:
+                self._drain_by_hand = True
+            if holder.holds(kind, subject, now_us):
+                reply("")
+                return []
+            holder.want(kind, subject).next_us = 0
+            self._waiting.setdefault((kind, subject), []).append(reply)
+            return []
+
+        self.carrier.post(call)
+
+    def why_not(self, kind: str, subject: str) -> str:
+        """Why a permit that is asked for is not there yet."""
+        holder = self.agent.holder
+        wanted = holder.wanted.get((kind, subject)) if holder is not None else None
+        if wanted is None:
+            return "not asked for"
+        return f"queued with {wanted.ahead} before it, and carried out in its turn: {wanted.why}"
+
+    def give_back(self, kind: str, subject: str) -> None:
+        def call(now_us: int) -> list[Out]:
+            if kind == DRAIN:
+                self._drain_by_hand = False
+            return self._drop(now_us, kind, subject)
+
+        self.carrier.post(call)
+
+    def walk(self, walk: str, names: list[str], for_us: int, reply: Callable[[str], None]) -> None:
+        def call(now_us: int) -> list[Out]:
+            unknown = [n for n in names if not self.agent.members.lives(n)]
+            if unknown:
+                reply(f"no member {', '.join(unknown[:5])}")
+            elif self.agent.holder is None:
+                reply("permits are off")
+            else:
+                self.agent.walks.begin(now_us, walk, names, for_us)
+                reply("")
+            return []
+
+        self.carrier.post(call)
+
+    # ------------------------------------------------------------------ what staff see
+
+    def show(self, what: str, reply: Callable[[Any], None]) -> None:
+        """`members`, `owners`, `permits`, `counts`, or a walk's name; as JSON would have it."""
+
+        def call(now_us: int) -> list[Out]:
+            shown = {"members": self._members, "owners": self._owners, "permits": self._permits}
+            if what in shown:
+                reply(shown[what](now_us))
+            elif what == "counts":
+                reply(self._counts())
+            else:
+                reply(self._walk(what.removeprefix("walk ")))
+            return []
+
+        self.carrier.post(call)
+
+    def _members(self, now_us: int) -> list[dict[str, Any]]:
+        voters = self.agent.voters.all()
+        return [
+            {
+                "name": r.name,
+                "incarnation": r.incarnation,
+                "state": r.state.name.lower(),
+                "since_s": round((now_us - since_us) / SECOND, 3),
+                "voter": r.name in voters,
+                "address": r.address,
+                "zone": r.zone,
+            }
+            for r, since_us in self.agent.members.known()
+        ]
+
+    def _owners(self, now_us: int) -> list[dict[str, Any]]:
+        tenures = self.agent.tenures.tenures
+        return [
+            {
+                "task": task,
+                "holder": t.holder or None,
+                "term": t.owned,
+                "held": bool(self.agent.tenures.holds(task, now_us)),
+                "ends_in_s": round((t.until_us - now_us) / SECOND, 3) if t.until_us else None,
+                "refused_orders": t.refused,
+            }
+            for task, t in sorted(tenures.items())
+        ]
+
+    def _permits(self, now_us: int) -> list[dict[str, Any]]:
+        holder, office = self.agent.holder, self.agent.office
+        if office is not None and self.agent.owns(PERMITS, now_us):
+            return office.table(now_us)
+        return [
+            {
+                "kind": w.kind,
+                "subject": w.subject,
+                "holder": self.agent.name,
+                "state": {"want": "waiting"}.get(w.state, w.state),
+                "ends_in_s": round((w.until_us - now_us) / SECOND, 3) if w.until_us else None,
+            }
+            for w in (holder.wanted.values() if holder is not None else ())
+        ]
+
+    def _counts(self) -> dict[str, Any]:
+        tallies, members = self.agent.tallies, self.agent.members
+        return {
+            "orders_sent": tallies.orders_sent,
+            "orders_dropped": tallies.orders_dropped,
+            "orders_taken": tallies.orders_taken,
+            "orders_refused": tallies.orders_refused,
+            "orders_late": tallies.orders_late,
+            "bad_messages": tallies.bad_messages,
+            "wrong_fleet": tallies.wrong_fleet,
+            "strangers": members.stray,
+            "slowness": members.slowness,
+            "bytes_out": self.carrier.bytes_out,
+            "in_touch": self.agent.tenures.in_touch(boot_us()),
+        }
+
+    def _walk(self, walk: str) -> Any:
+        begun = self.agent.walks.begun.get(walk)
+        if begun is None:
+            return None
+        return [{"name": s.name, "state": s.state, "why": s.why} for s in begun.steps]
+
+
+def _founding() -> int:
+    return founding_term(time.time(), random.SystemRandom().getrandbits(12))
+
+
+def _record(kind: str, **facts: Any) -> None:
+    """For the laboratory: every act, in the time that all processes of a machine share."""
+    # What was counted by the clock that goes on in a machine's sleep is told by the other one.
+    apart_us = time.monotonic_ns() // 1000 - boot_us()
+    if "until_us" in facts:
+        facts["until_us"] += apart_us
+    log("act", kind=kind, at_us=time.monotonic_ns() // 1000, **facts)
+
+
+def _forget(kind: str, **facts: Any) -> None:
+    pass
--- /dev/null
+++ b/sailrun/owners/shared.py
@@ -0,0 +1,134 @@
+"""The core's `Roster` where one node of a data centre reads for the others there."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from sailrun.config import ServerRoster
+from sailrun.connection import show_address
+from sailrun.interface import ListKind
+from sailrun.node.clock import log
+from sailrun.node.session import FormServer, RosterNews
+from sailrun.owners.agent import READER, Agent, Out
+from sailrun.owners.clock import boot_us
+from sailrun.owners.reader import Reading
+from sailrun.roster import BadRoster, RosterClient, phase_of, read_news
+
+if TYPE_CHECKING:
+    from sailrun.node.core import Node
+    from sailrun.owners.carrier import Carrier
+
+SECOND = 1_000_000
+# The core hears that nothing has changed as often as it would of a watch.
+UNCHANGED_US = 5 * SECOND
+
+
+class SharedRoster:
+    """Passes the core's wishes to the roster while this node has to read it, and what the reader tells to the
+    core otherwise. In front of the core it looks like a roster client, in front of the client like the core.
+    """
+
+    def __init__(
+        self, node: Node, source: ServerRoster, revision: int, agent: Agent, carrier: Carrier
+    ) -> None:
+        self._node, self._agent, self._carrier = node, agent, carrier
+        self.clock, self.settings = node.clock, node.settings  # what a client asks of a node
+        self._client = RosterClient(self, source.address, revision)  # type: ignore[arg-type]
+        self._reading = Reading(show_address(source.address), agent.terms.reader, boot_us())
+        self._listed: dict[str, FormServer] = {}
+        self._watching = False
+        self._reads = True
+        self._told_us = 0
+        self._task = READER + agent.zone
+        self._answer = lambda now_us, sender, content: self._reading.answer(content)
+        agent.answers[self._task] = self._answer
+
+    # ------------------------------------------------------------------ what the core wants
+
+    def watch(self, active: bool) -> None:
+        self._watching = active
+        self._client.watch(active and self._reads)
+
+    def fetch(self) -> None:
+        if self._reads or self._reading.revision < 0:
+            self._client.fetch()
+        else:
+            servers = tuple(self._listed.values())
+            self._node.roster_told(RosterNews(ListKind.FULL, self._reading.revision, servers))
+
+    def drop(self) -> None:
+        self._client.drop()
+        if self._agent.answers.get(self._task) is self._answer:
+            del self._agent.answers[self._task]
+
+    def alone(self) -> None:
+        """There is no fleet any more: this node reads for itself."""
+        self._reads, self._reading.owner = True, False
+        self._client.watch(self._watching)
+        self._client.fetch()
+
+    async def run(self) -> None:
+        await self._client.run()
+
+    # ------------------------------------------------------------------ what the roster tells
+
+    def roster_told(self, news: RosterNews) -> None:
+        if news.kind is not ListKind.DELTA:
+            self._listed.clear()
+        for entry in news.form_servers:
+            self._listed[entry.name] = entry
+        if news.kind is not ListKind.DELTA or news.form_servers or self._reading.revision < 0:
+            self._reading.read(news.revision, [_as_json(entry) for entry in self._listed.values()])
+        else:
+            self._reading.revision = news.revision
+        self._node.roster_told(news)
+
+    def roster_failed(self, why: str) -> None:
+        self._node.roster_failed(why)
+
+    # ------------------------------------------------------------------ what the reader tells
+
+    def turn(self, now_us: int) -> list[Out]:
+        """Called by the agent's task."""
+        self._reading.owner = bool(self._agent.tenures.holds(self._task, now_us))
+        reads = self._reading.reads(now_us) or self._reading.revision < 0
+        if reads is not self._reads:
+            self._reads = reads
+            log("roster-reader", reads=reads, owner=self._reading.owner, revision=self._reading.revision)
+            self._client.watch(reads and self._watching)
+            if reads:
+                self._client.fetch()
+        has = self._reading.due(now_us)
+        if has is None or not self._agent.members.joined:
+            return []
+        return self._agent.ask(now_us, self._task, [has.source, has.revision], self._answered)
+
+    def _answered(self, now_us: int, sent_us: int, content: Any) -> None:
+        members = self._reading.told(now_us, content)
+        if members is None:
+            if not self._reads and now_us - self._told_us > UNCHANGED_US:
+                self._told_us = now_us
+                self._node.roster_told(RosterNews(ListKind.DELTA, self._reading.revision, ()))
+            return
+        try:
+            news = read_news({"complete": True, "revision": self._reading.revision, "members": members})
+        except BadRoster as error:
+            log("reader-list-refused", why=str(error))
+            self._reading.revision = -1  # the roster itself is asked
+            return
+        self._told_us = now_us
+        self._listed = {entry.name: entry for entry in news.form_servers}
+        self._node.roster_told(news)
+
+
+def _as_json(entry: FormServer) -> dict[str, Any]:
+    """In the roster's own form."""
+    return {
+        "id": entry.name,
+        "host_port": show_address(entry.address),
+        "phase": phase_of(entry.state),
+        "locality": entry.zone,
+        "cell": entry.cell,
+        "size": entry.size,
+        "up_since_ms": entry.started_us // 1000,
+    }
--- a/sailrun/rebalance/balance.py
+++ b/sailrun/rebalance/balance.py
@@ -230,6 +230,17 @@
         """This node sends its households away by another rule from now on; or does no more."""
         self._leaving = on
 
+    @property
+    def active(self) -> bool:
+        """Whether households are being moved."""
+        return self._active
+
+    def lent(self, share: float) -> None:
+        """This part of the fleet's pace is this node's now, 0 to 1; what it took for its own is none any
+        more.
+        """
+        self._pace.parts = share * self._nodes
+
     def _trouble(self, now_us: int, why: str) -> None:
         if self._pace.close(now_us) and self._active:
             self._notes.append({"state": "held", "why": why, "moved": self._moved})
--- a/sailrun/rebalance/pace.py
+++ b/sailrun/rebalance/pace.py
@@ -22,6 +22,8 @@
         self._at_us = self._widened_us = now_us
         self._shut_until_us = now_us
         self._best = 0.0  # the least imbalance since the pace was last set
+        # Of what all nodes may move, in even parts of the fleet: 1 is the share of one node among all.
+        self.parts = 1.0
 
     def close(self, now_us: int) -> bool:
         """Trouble; True if the pace was open until now."""
@@ -40,7 +42,7 @@
 
     def allowance(self, now_us: int, imbalance: float, targets: int) -> int:
         """How many connections may be moved now, with so many form servers to take them."""
-        if self.shut(now_us) or not targets:
+        if self.shut(now_us) or not targets or not self.parts:
             self._at_us = now_us
             return 0
         if now_us - self._widened_us >= SECOND:
@@ -50,8 +52,9 @@
                 self._best = imbalance
         seconds = min(now_us - self._at_us, SAVED_US) / SECOND
         self._at_us = now_us
-        saved = max(1.0, self.rate * targets * SAVED_US / SECOND)
-        self._tokens = min(self._tokens + self.rate * targets * seconds, saved)
+        rate = self.rate * self.parts
+        saved = max(1.0, rate * targets * SAVED_US / SECOND)
+        self._tokens = min(self._tokens + rate * targets * seconds, saved)
         return int(self._tokens)
 
     def spend(self, connections: int) -> None:
--- a/sailrun/serve.py
+++ b/sailrun/serve.py
@@ -5,7 +5,7 @@
 import signal
 import socket
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import fields
+from dataclasses import fields, replace
 from typing import TYPE_CHECKING, Any, Protocol
 
 import anyio
@@ -21,6 +21,9 @@
 from sailrun.roster import RosterClient
 
 if TYPE_CHECKING:
+    from sailrun.owners.agent import AgentTerms
+    from sailrun.owners.service import FleetPart
+    from sailrun.owners.shared import SharedRoster
     from sailrun.succession.handover import Inherited
     from sailrun.xds.rosters import EnvoyRoster
 
@@ -64,6 +67,7 @@
         descriptors = descriptors_allowed(config.descriptors)
         self._households = Households(self.node, config.groups, descriptors)
         self._descriptors = descriptors
+        self._fleet = self._join_fleet(config, inherited is not None)
         # Before any task: an address that is not to be had is the caller's fault, and ends in one line.
         self._open_doors = self._doors(config, _DOORS)
         self._roster, self._asking = self._roster_for(config), anyio.CancelScope()
@@ -81,6 +85,14 @@
             )
             self.node.neighbours = self._datagrams
 
+    def _join_fleet(self, config: NodeConfig, patient: bool) -> FleetPart | None:
+        if config.operator is None or not config.operator.members.enabled:
+            return None
+        # Loaded only where it is switched on: the platform's nodes have no path to each other but datagrams.
+        from sailrun.owners.service import FleetPart
+
+        return FleetPart(self.node, config, patient)
+
     def _switch(self, config: NodeConfig) -> None:
         """Switches subsystems on or off, as the operator's file has them."""
         if config.operator is None or not config.operator.rebalance.enabled:
@@ -123,7 +135,7 @@
         if key == "control" and config.control is not None:
             from sailrun.control.desk import Desk
 
-            return Desk(self.node, listen(config.control))
+            return Desk(self.node, listen(config.control), lambda: self._fleet)
         return None
 
     def _handed(self, key: str, address: Address) -> socket.socket | None:
@@ -153,11 +165,23 @@
             door.pause() if yes else door.resume()
         if self._datagrams is not None:
             self._datagrams.pause() if yes else self._datagrams.resume()
-
-    def _roster_for(self, config: NodeConfig) -> RosterClient | EnvoyRoster:
+        if self._fleet is None:
+            return
+        if yes:
+            # The name and the address are the successor's now.
+            self._fleet.give_up()
+        else:
+            self._fleet = self._join_fleet(self._config, patient=True)
+            if self._fleet is not None:
+                self.group.start_soon(self._fleet.run)
+
+    def _roster_for(self, config: NodeConfig) -> RosterClient | SharedRoster | EnvoyRoster:
         match config.roster:
             case ServerRoster(address):
-                return RosterClient(self.node, address, self._revision)
+                shared = (
+                    self._fleet.roster(config.roster, self._revision) if self._fleet is not None else None
+                )
+                return shared or RosterClient(self.node, address, self._revision)
             case EnvoyFiles(cluster, clusters, endpoints):
                 from sailrun.xds.rosters import FileRoster
 
@@ -176,6 +200,8 @@
             self.node.prober = Probes(self.node, group)
         if self._datagrams is not None:
             group.start_soon(self._datagrams.run)
+        if self._fleet is not None:
+            group.start_soon(self._fleet.run)
         if self._config.control is not None:
             from sailrun.succession.handover import Handover
 
@@ -209,7 +235,7 @@
             ]
             self._take_over(config, changed)
         except Exception as error:  # whatever is wrong with a file, the node goes on without it
-            why = str(error) if isinstance(error, BadConfig | OSError) else repr(error)
+            why = str(error) if isinstance(error, BadConfig | OSError | ValueError) else repr(error)
             log("reload-refused", why=why)
             self.node.reloaded(False)
             return
@@ -222,6 +248,7 @@
         self.node.reloaded(True)
 
     def _take_over(self, config: NodeConfig, changed: list[str]) -> None:
+        fleet_terms = self._fleet_terms(config) if "operator" in changed else None
         # First what can fail; from then on the new file is in force. The addresses that stay are not
         # listened on twice.
         doors = self._doors(config, [key for key in _DOORS if key in changed])
@@ -230,6 +257,8 @@
                 self._exchange(key, doors.get(key))
         if "operator" in changed:
             self._switch(config)
+        if fleet_terms is not None and self._fleet is not None:
+            self._fleet.use(fleet_terms)
         if "roster" in changed:
             self._asking.cancel()
             self._roster, self._asking = self._roster_for(config), anyio.CancelScope()
@@ -239,6 +268,20 @@
             self._roster.watch(True)
             self.group.start_soon(self._ask_roster)
 
+    def _fleet_terms(self, config: NodeConfig) -> AgentTerms | None:
+        """What a new operator's file changes of the fleet; where this node listens waits for its next
+        start.
+        """
+        before, after = self._config.operator, config.operator
+        if self._fleet is None or before is None or after is None:
+            return None
+        from sailrun.operator import voters_follow
+        from sailrun.owners.service import agent_terms
+
+        if (why := voters_follow(before.owners, after.owners)) is not None:
+            raise ValueError(why)
+        return replace(agent_terms(after), members=before.members)
+
     def _exchange(self, key: str, new: Door | None) -> None:
         old = self._open_doors.pop(key, None)
         if new is not None:
@@ -255,6 +298,8 @@
                     self.reload()
                 else:
                     self.node.leave()
+                    if self._fleet is not None:
+                        self._fleet.leave()
 
 
 async def serve(read: Callable[[], NodeConfig]) -> None:
