Rig: real processes under faults, every path between two of them through a relay

Need: only real processes show what sockets, signals and clocks do. What they did is judged from their logs.

Found by it at once: log() took its event's name by keyword, so a fact named 'what' ended the process; and a fault of the fleet's part took the node down. The name is positional now, and a fault there leaves the node as without a fleet.

--- a/sailrun/lab/faults/play.py
+++ b/sailrun/lab/faults/play.py
@@ -87,6 +87,36 @@
     return played
 
 
+def play_real(day: FaultDay, told: Callable[[float], None] = lambda share: None) -> Played:
+    """On real processes, in real time."""
+    import anyio
+
+    from sailrun.lab.faults.rig import Rig
+
+    if day.off:
+        raise ValueError("safety rules are switched off in virtual time only")
+    plan = PLANS[day.plan]
+    seconds = day.seconds or plan.seconds
+    rig = Rig(
+        day.nodes,
+        voters_among(day.nodes),
+        min(MOST_ZONES, max(1, day.nodes // 3)),
+        lambda index, voters, joins: agent_terms(index, voters, joins, plan.permits),
+        day.seed,
+    )
+    anyio.run(
+        rig.play,
+        seconds,
+        lambda fleet: Nemesis(fleet, plan, day.seed, seconds, LEASE_S),
+        backend_options={"use_uvloop": True},
+    )
+    told(1.0)
+    played = judged(rig.rows, plan.permits, rig.begin_us, rig.end_us, seconds)
+    played.figures["messages_a_node_and_s"] = rig.relays.passed / day.nodes / seconds
+    played.figures["roster_calls_a_s"] = rig.roster.asked / seconds
+    return played
+
+
 def _agree(fleet: Any) -> bool:
     """Whether all that run know the same members at the end."""
     agents = [n.agent for n in fleet.nodes.values() if n.agent is not None]
--- /dev/null
+++ b/sailrun/lab/faults/rig.py
@@ -0,0 +1,394 @@
+"""Real `sailrun` processes under faults: the nemesis's `Fleet`, with signals, relays and calls of staff.
+
+Bounded: so many processes, on loopback only, each ended by its pid when the day is over, however it ends.
+What
+the nodes did is read from their logs, in the time that all processes of a machine share.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+import tomli_w
+from anyio.abc import Process, SocketStream, TaskGroup
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+from sailrun.control.cli import ANSWER_S
+from sailrun.lab.faults.history import Row
+from sailrun.lab.faults.relays import HOST, Address, Relays
+from sailrun.lab.terms import WorldTerms
+from sailrun.owners.agent import AgentTerms
+
+MOST_NODES = 15
+FORM_SERVERS = 8
+_BROKEN = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    anyio.IncompleteRead,
+    anyio.DelimiterNotFound,
+    OSError,
+)
+LONGEST_LINE = 65_536
+# Log lines of a node that go into the records beside its acts.
+KEPT = (
+    "owner",
+    "owners-rest",
+    "owners-in-touch",
+    "permit",
+    "roster-reader",
+    "fault",
+    "order-refused",
+    "pace",
+)
+
+
+@dataclass(slots=True, eq=False)
+class RealNode:
+    name: str
+    index: int
+    zone: str
+    members: Address
+    listen: Address
+    control: Address
+    relay: Address = (HOST, 0)
+    process: Process | None = None
+    lives: int = 0
+    stop: int = 0
+    owns: dict[str, int] = field(default_factory=dict)  # by task, until when, as it has said
+
+
+class Rig:
+    def __init__(
+        self,
+        nodes: int,
+        voters: int,
+        zones: int,
+        terms: Callable[[int, list[str], list[str]], AgentTerms],
+        seed: int,
+    ) -> None:
+        if not 1 <= nodes <= MOST_NODES:
+            raise ValueError(f"{nodes} nodes are not from 1 to {MOST_NODES}")
+        self.names = [f"n{n}" for n in range(nodes)]
+        self.voters = self.names[:voters]
+        self._terms, self._seed = terms, seed
+        self._luck = random.Random(f"rig/{seed}")
+        self.rows: list[Row] = []
+        self.begin_us = now_us()
+        self.nodes: dict[str, RealNode] = {}
+        for n, name in enumerate(self.names):
+            members, listen, control = (_free() for _ in range(3))
+            self.nodes[name] = RealNode(name, n, f"z{n % zones}", members, listen, control)
+        self.roster = RigRoster()
+        self._over = False
+        self.cpu_s = 0.0
+
+    # ------------------------------------------------------------------ the day
+
+    async def play(self, seconds: float, plan: Callable[[Rig], object]) -> None:
+        """Starts everything, has the nemesis loose, and ends everything."""
+        with tempfile.TemporaryDirectory(prefix="sailrun-rig-") as folder:
+            self._folder = Path(folder)
+            async with anyio.create_task_group() as group:
+                self.group = group
+                self.relays = Relays(group, self._seed)
+                try:
+                    for node in self.nodes.values():
+                        node.relay = await self.relays.add(node.name, node.members)
+                    await self.roster.open(group)
+                    self.begin_us = now_us()
+                    for name in self.names:
+                        self.start(name)
+                    plan(self)
+                    await anyio.sleep(seconds)
+                finally:
+                    self._over = True
+                    self._end()
+                    group.cancel_scope.cancel()
+                    self.relays.close()
+        self.end_us = now_us()
+
+    def _end(self) -> None:
+        for node in self.nodes.values():
+            if node.process is not None and node.process.returncode is None:
+                with suppress(ProcessLookupError):
+                    os.kill(node.process.pid, signal.SIGKILL)
+
+    def after(self, wait_us: int, what: Callable[..., None], *facts: object) -> None:
+        self.group.start_soon(self._wait, wait_us / 1e6, what, facts)
+
+    async def _wait(self, wait_s: float, what: Callable[..., None], facts: tuple[object, ...]) -> None:
+        await anyio.sleep(wait_s)
+        if not self._over:
+            what(*facts)
+
+    def row(self, kind: str, node: str, at_us: int | None = None, **facts: Any) -> None:
+        self.rows.append({"at_us": now_us() if at_us is None else at_us, "node": node, "kind": kind, **facts})
+
+    def told(self, what: str, **facts: object) -> None:
+        self.row("fault", str(facts.get("node", "")), what=what, facts=str(facts))
+
+    # ------------------------------------------------------------------ processes
+
+    def start(self, name: str, clock_s: float = 0.0) -> None:
+        node = self.nodes[name]
+        if node.process is None:
+            node.lives += 1
+            self.group.start_soon(self._run, node, clock_s)
+
+    async def _run(self, node: RealNode, clock_s: float) -> None:
+        arguments = ["serve", "--config", str(self._config(node)), "--operator", str(self._operator(node))]
+        rate = 1.0 + 0.01 * self._luck.choice((-1, 0, 1))
+        skewed = [sys.executable, "-m", "sailrun.lab.faults.skewed", str(clock_s), str(rate), *arguments]
+        environment = {k: v for k, v in os.environ.items() if not k.startswith(("RELAY_", "SAILRUN_"))}
+        process = await anyio.open_process(
+            skewed,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+            env={**environment, "TMPDIR": str(self._folder)},
+        )
+        node.process = process
+        self.row("started", node.name, life=node.lives, clock_s=clock_s, rate=rate)
+        try:
+            assert process.stderr is not None
+            lines = BufferedByteReceiveStream(process.stderr)
+            with suppress(*_BROKEN):
+                while True:
+                    self._heard(
+                        node, (await lines.receive_until(b"\n", LONGEST_LINE)).decode("utf-8", "replace")
+                    )
+            await process.wait()
+        finally:
+            if node.process is process:
+                node.process = None
+                node.owns.clear()
+                # Only now has it ended for certain.
+                self.row("died", node.name, code=process.returncode)
+
+    def _heard(self, node: RealNode, line: str) -> None:
+        _, _, rest = line.strip().partition(" ")
+        what, *words = rest.split(" ")
+        facts: dict[str, Any] = {}
+        for word in words:
+            key, sep, value = word.partition("=")
+            if sep:
+                facts[key] = int(value) if value.lstrip("-").isdigit() else value
+        if what == "act" and "kind" in facts:
+            self.row(facts.pop("kind"), node.name, facts.pop("at_us"), **facts)
+            if self.rows[-1]["kind"] == "hold":
+                node.owns[facts["task"]] = facts["until_us"]
+            elif self.rows[-1]["kind"] == "lost":
+                node.owns.pop(facts["task"], None)
+        elif what in KEPT or "Error" in line or "Traceback" in line:
+            self.row("log", node.name, text=rest[:300])
+
+    def kill(self, name: str) -> None:
+        self._signal(name, signal.SIGKILL)
+
+    def leave(self, name: str) -> None:
+        self.told("leave", node=name)
+        self._signal(name, signal.SIGTERM)
+
+    def stop(self, name: str, in_send: bool = False) -> int:
+        """A real process is stopped wherever it happens to be, also between its look at the clock and a
+        send.
+        """
+        node = self.nodes[name]
+        node.stop += 1
+        self.told("stop", node=name)
+        self._signal(name, signal.SIGSTOP)
+        return node.stop
+
+    def go_on(self, name: str, stop: int) -> None:
+        if self.nodes[name].stop == stop:
+            self.told("go-on", node=name)
+            self._signal(name, signal.SIGCONT)
+
+    def _signal(self, name: str, number: signal.Signals) -> None:
+        process = self.nodes[name].process
+        if process is not None and process.returncode is None:
+            with suppress(ProcessLookupError):
+                process.send_signal(number)
+
+    # ------------------------------------------------------------------ files
+
+    def _config(self, node: RealNode) -> Path:
+        settings = WorldTerms(nodes=len(self.names), form_servers=FORM_SERVERS).settings(node.index)
+        settings["az"] = node.zone
+        document = {
+            "name": node.name,
+            "listen": _text(node.listen),
+            "control": _text(node.control),
+            "discovery": _text(self.roster.address),
+            "seed": f"{self._seed * 100 + node.index:x}",
+            "peers": [],
+            "known": self.roster.whole(),
+            "settings": settings,
+        }
+        path = self._folder / f"{node.name}.json"
+        path.write_text(json.dumps(document))
+        return path
+
+    def _operator(self, node: RealNode) -> Path:
+        joins = [_text(n.relay) for n in self.nodes.values() if n.index < 3 and n is not node]
+        terms = self._terms(node.index, self.voters, joins)
+        tables: dict[str, Any] = {
+            "members": {**_set(terms.members), "listen": _text(node.members), "advertise": _text(node.relay)},
+            "owners": {**_set(terms.owners), "record": True},
+            "permits": _set(terms.permits),
+            "reader": _set(terms.reader),
+        }
+        path = self._folder / f"{node.name}.toml"
+        path.write_text(tomli_w.dumps(tables))
+        return path
+
+    # ------------------------------------------------------------------ the network
+
+    def cut(self, one: list[str], other: list[str], both_ways: bool = True) -> int:
+        self.told("cut", one=",".join(one), other=",".join(other), both_ways=both_ways)
+        return self.relays.cut(one, other, both_ways)
+
+    def heal(self, cut: int) -> None:
+        self.told("heal")
+        self.relays.heal(cut)
+
+    def weather(self, lost: float, delay_us: tuple[int, int], doubled: float) -> None:
+        self.told("weather", lost=lost, delay_us=delay_us, doubled=doubled)
+        weather = self.relays.weather
+        weather.lost, weather.delay_us, weather.doubled = lost, delay_us, doubled
+        weather.torn = lost / 2
+        weather.bytes_per_s = 1e6 if lost else 0.0
+
+    def hold_back(self, name: str, for_us: int) -> None:
+        self.told("hold-back", node=name, for_us=for_us)
+        self.relays.hold_back(name, for_us)
+
+    # ------------------------------------------------------------------ what the nemesis asks
+
+    def owner(self, task: str) -> str | None:
+        moment_us = now_us()
+        return next((n.name for n in self.nodes.values() if n.owns.get(task, 0) > moment_us), None)
+
+    def tasks(self) -> list[str]:
+        return sorted({task for node in self.nodes.values() for task in node.owns})
+
+    def want(self, name: str, kind: str, subject: str, for_us: int) -> None:
+        number = int(subject.rpartition("-")[2]) % FORM_SERVERS
+        server = f"s-{number:08x}"
+        self.group.start_soon(self.call, name, f"set-down {server}")
+        self.after(for_us, self._ask, name, f"set-up {server}")
+
+    def walk(self, name: str, names: list[str], for_us: int) -> None:
+        self.told("walk", node=name, names=",".join(names))
+        line = f"fleet walk walk-{self._seed} {for_us // 1000} {','.join(names)}"
+        self.group.start_soon(self.call, name, line)
+
+    def _ask(self, name: str, line: str) -> None:
+        self.group.start_soon(self.call, name, line)
+
+    async def call(self, name: str, line: str) -> str | None:
+        """A call of staff at a node's second address; None where it is not answered."""
+        answer = b""
+        with anyio.move_on_after(ANSWER_S), suppress(*_BROKEN):
+            async with await anyio.connect_tcp(*self.nodes[name].control) as stream:
+                await stream.send(f"{line}\r\n".encode())
+                while True:
+                    answer += await stream.receive()
+        text = answer.decode("utf-8", "replace").strip()
+        self.row("call", name, line=line, answer=text[:200])
+        return text or None
+
+
+class RigRoster:
+    """The server roster, as much as nodes ask of it: the list, and watches on it."""
+
+    def __init__(self) -> None:
+        self.address: Address = (HOST, 0)
+        self.revision = 1
+        self.asked = 0
+        self.by_s: dict[int, int] = {}
+
+    def whole(self) -> dict[str, Any]:
+        members = [
+            {
+                "id": f"s-{n:08x}",
+                "host_port": f"{HOST}:{9}",
+                "locality": "z0",
+                "flavor": "std-2c",
+                "cell": n,
+                "phase": "SERVING",
+                "size": 1.0,
+                "up_since_ms": 0,
+            }
+            for n in range(FORM_SERVERS)
+        ]
+        return {"revision": self.revision, "complete": True, "members": members}
+
+    async def open(self, group: TaskGroup) -> None:
+        listener = await anyio.create_tcp_listener(local_host=HOST)
+        self.address = listener.extra(anyio.abc.SocketAttribute.local_address)[:2]  # type: ignore[assignment]
+        group.start_soon(listener.serve, self._serve)
+        group.start_soon(self._change)
+
+    async def _change(self) -> None:
+        while True:
+            await anyio.sleep(1.0)
+            self.revision += 1
+
+    async def _serve(self, stream: SocketStream) -> None:
+        async with stream:
+            lines = BufferedByteReceiveStream(stream)
+            with suppress(*_BROKEN):
+                while True:
+                    first = (await lines.receive_until(b"\r\n\r\n", LONGEST_LINE)).split(b"\r\n")[0].decode()
+                    self.asked += 1
+                    second = int(time.monotonic())
+                    self.by_s[second] = self.by_s.get(second, 0) + 1
+                    _, _, query = first.split(" ")[1].partition("?")
+                    asked = dict(pair.split("=") for pair in query.split("&") if "=" in pair)
+                    until = time.monotonic() + int(asked.get("wait_ms", 0)) / 1000
+                    while int(asked.get("after", -1)) >= self.revision and time.monotonic() < until:
+                        await anyio.sleep(0.05)
+                    body = json.dumps(self.whole()).encode()
+                    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+                    await stream.send(head.encode() + body)
+
+
+def now_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
+def _free() -> Address:
+    """A port for datagrams and connections alike."""
+    while True:
+        with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            tcp.bind((HOST, 0))
+            port = tcp.getsockname()[1]
+            try:
+                udp.bind((HOST, port))
+            except OSError:
+                continue
+            return HOST, port
+
+
+def _text(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
+def _set(table: Any) -> dict[str, Any]:
+    """A table's keys as an operator's file has them."""
+    return {key: getattr(table, key) for key in table.__struct_fields__}
--- a/sailrun/node/clock.py
+++ b/sailrun/node/clock.py
@@ -26,7 +26,7 @@
         return anyio.current_time() + (at_us - self.now_us()) / 1e6
 
 
-def log(what: str, **facts: object) -> None:
+def log(what: str, /, **facts: object) -> None:
     """One line: the event's name, then name=value pairs."""
     pairs = "".join(f" {name}={_word(value)}" for name, value in facts.items() if value is not None)
     sys.stderr.write(f"{time.time():.3f} {what}{pairs}\n")
--- a/sailrun/owners/service.py
+++ b/sailrun/owners/service.py
@@ -9,6 +9,7 @@
 import random
 import secrets
 import time
+import traceback
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -85,7 +86,16 @@
         return self._shared
 
     async def run(self) -> None:
-        await self.carrier.run()
+        """Until cancelled, or given up. A fault in here leaves the node as it would be without a fleet."""
+        try:
+            await self.carrier.run()
+        except Exception:
+            log("fault", where="fleet", trace=traceback.format_exc())
+            self._alone()
+
+    def _alone(self) -> None:
+        if self._shared is not None:
+            self._shared.alone()
 
     def leave(self) -> None:
         """The process ends: what is owned is handed over at once."""
@@ -97,8 +107,7 @@
 
     def _give_up(self, now_us: int) -> list[Out]:
         self.carrier.ends = True
-        if self._shared is not None:
-            self._shared.alone()
+        self._alone()
         return self.agent.leave(now_us)
 
     def use(self, terms: AgentTerms) -> None:
