--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -135,6 +136,8 @@
         [sys.executable, "-m", "sailrun", *command], stdout=subprocess.PIPE, text=True, bufsize=1
     )
     assert walk.stdout is not None
+    too_long = threading.Timer(2 * PATIENCE_S, walk.kill)
+    too_long.start()
     try:
         lines: list[str] = []
         for line in walk.stdout:
@@ -145,6 +148,7 @@
         lines += walk.stdout.readlines()
         assert walk.wait(PATIENCE_S) == 0, lines
     finally:
+        too_long.cancel()
         walk.kill()
         walk.wait()
     for name in others:
