--- a/sailrun/__main__.py
+++ b/sailrun/__main__.py
@@ -1,6 +1,6 @@
 """`python -m sailrun`: see sailrun/cli.py."""
 
-from sailrun.cli import app
+from sailrun.cli import command
 
 if __name__ == "__main__":
-    app(prog_name="sailrun")
+    command()
--- a/sailrun/cli.py
+++ b/sailrun/cli.py
@@ -12,8 +12,6 @@
 import typer
 
 from sailrun.config import BadConfig, NodeConfig, read_node_config
-from sailrun.control.cli import app as fleet_app
-from sailrun.lab.cli import app as lab_app
 
 app = typer.Typer(
     help="A node that places census form sessions on form servers.",
@@ -23,8 +21,6 @@
 
 config_app = typer.Typer(help="Write and check a sidecar's file.")
 app.add_typer(config_app, name="config")
-app.add_typer(fleet_app, name="fleet")
-app.add_typer(lab_app, name="lab")
 
 ConfigPath = Annotated[
     Path | None, typer.Option("--config", envvar="RELAY_CONFIG", help="The platform's JSON.")
@@ -169,3 +165,16 @@
         from sailrun import __version__
 
         print(__version__)
+
+
+def command() -> None:
+    """The program. As the platform starts it, without arguments, it loads and builds no sub-command's
+    page.
+    """
+    if len(sys.argv) > 1:
+        from sailrun.control.cli import app as fleet_app
+        from sailrun.lab.cli import app as lab_app
+
+        app.add_typer(fleet_app, name="fleet")
+        app.add_typer(lab_app, name="lab")
+    app(prog_name="sailrun")
--- a/sailrun/lab/faults/skewed.py
+++ b/sailrun/lab/faults/skewed.py
@@ -28,9 +28,9 @@
     wall_s, rate, *arguments = sys.argv[1:]
     skew(float(wall_s), float(rate))
     sys.argv = ["sailrun", *arguments]
-    from sailrun.cli import app
+    from sailrun.cli import command
 
-    app()
+    command()
 
 
 if __name__ == "__main__":
