Take over limits and voters at SIGHUP, and leave the fleet's times for its next start

Seen on reading: a file with another lease was taken over by one node alone, against which the others' promises do not hold; an office of permits kept the old limits until its next owner. Tested with a running owner.

--- a/sailrun/owners/agent.py
+++ b/sailrun/owners/agent.py
@@ -427,6 +427,8 @@
                 self.voter = self._new_voter(now_us)
             else:
                 self.voter.voters = self.voters
+        if self.office is not None:
+            self.office.use(terms.permits)
         self.terms = terms
         self._tasks_of = -1
 
--- a/sailrun/owners/permits.py
+++ b/sailrun/owners/permits.py
@@ -49,6 +49,10 @@
         self._queue: dict[tuple[Key, str], _Waiting] = {}  # by what, and who
         self._count = 0
 
+    def use(self, terms: PermitsTerms) -> None:
+        """Other limits from now on; what is in use above them stays until it is given back."""
+        self._terms = terms
+
     def limit(self, kind: str) -> int:
         return {DRAIN: self._terms.drains, OUT: self._terms.out}.get(kind, 0)
 
--- a/sailrun/serve.py
+++ b/sailrun/serve.py
@@ -275,12 +275,22 @@
         before, after = self._config.operator, config.operator
         if self._fleet is None or before is None or after is None:
             return None
+        import msgspec
+
         from sailrun.operator import voters_follow
         from sailrun.owners.service import agent_terms
 
         if (why := voters_follow(before.owners, after.owners)) is not None:
             raise ValueError(why)
-        return replace(agent_terms(after), members=before.members)
+        # Times that nodes promise each other by are of the whole fleet: they wait for its next start.
+        kept = msgspec.structs.replace(
+            after.owners, lease_s=before.owners.lease_s, order_s=before.owners.order_s
+        )
+        permits = msgspec.structs.replace(
+            after.permits, lease_s=before.permits.lease_s, enabled=before.permits.enabled
+        )
+        terms = agent_terms(after)
+        return replace(terms, members=before.members, owners=kept, permits=permits, reader=before.reader)
 
     def _exchange(self, key: str, new: Door | None) -> None:
         old = self._open_doors.pop(key, None)
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -8,6 +8,7 @@
 import sys
 import threading
 import time
+import tomllib
 from collections.abc import Callable, Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import ExitStack
@@ -43,6 +44,7 @@
         self._folder, self._roster, self._stack = folder, roster, stack
         self.listens = {name: f"127.0.0.1:{free_port()}" for name in ("n1", "n2", "n3")}
         self.nodes: dict[str, RunningNode] = {}
+        self.operators: dict[str, Path] = {}
         for name in self.listens:
             self.start(name)
         self.until(lambda: all(self.owner(task) for task in ("permits", "roster/daejeon-1")))
@@ -61,7 +63,7 @@
             "permits": {"enabled": True, "drains": 1, "out": 1, "lease_s": 3.0},
             "reader": {"enabled": True},
         }
-        operator = folder / "operator.toml"
+        operator = self.operators[name] = folder / "operator.toml"
         operator.write_text(tomli_w.dumps(tables))
         control = f"127.0.0.1:{free_port()}"
         running = node(folder, self._roster, operator=operator, name=name, control=control)
@@ -126,6 +128,23 @@
     fleet.until(lambda: [m["incarnation"] for m in fleet.ask(second, "members") if m["name"] == first] == [2])
 
 
+def test_a_new_file_changes_limits_and_no_voter_without_the_stage_between(
+    fleet: Fleet, servers: list[FormServer]
+) -> None:
+    owner = str(fleet.owner("permits"))
+    path, running = fleet.operators[owner], fleet.nodes[owner]
+    tables = tomllib.loads(path.read_text())
+    tables["owners"] |= {"voters": ["n1", "n2", "n4"], "revision": 2}
+    path.write_text(tomli_w.dumps(tables))
+    running.process.send_signal(signal.SIGHUP)
+    running.logged("reload-refused", "one stage at a time")
+    tables["owners"]["voters_before"] = ["n1", "n2", "n3"]
+    tables["permits"]["out"] = 2
+    path.write_text(tomli_w.dumps(tables))
+    running.process.send_signal(signal.SIGHUP)
+    running.logged("reloaded", "changed=operator")
+
+
 def test_a_second_form_server_waits_for_the_first_and_a_dead_holder_gives_back(
     fleet: Fleet, servers: list[FormServer]
 ) -> None:
