--- a/sailrun/owners/agent.py
+++ b/sailrun/owners/agent.py
@@ -48,7 +48,7 @@
 PACE = "pace"
 # Hearsay of who owns what is told so many times, to whoever a message goes to anyway.
 CLAIM_TIMES = 30
-# Questions that nobody answered are remembered for so long, in lifetimes of an answer.
+# So many questions wait for answers at a time; the oldest make room.
 MOST_QUESTIONS = 4096
 
 
@@ -256,8 +256,7 @@
 
     def ask(self, now_us: int, task: str, content: Any, done: Callable[[int, int, Any], None]) -> list[Out]:
         """A question to a task's owner, whoever that is. `done` is called with its answer, if one comes in
-        time
-        and of no lower term than was heard of; else nothing is, and the question is to be asked again.
+        time and of no lower term than was heard of; else nothing is, and the question is to be asked again.
         """
         self._number += 1
         while len(self._questions) >= MOST_QUESTIONS:
