Judge an order by when its maker looked at the clock, and by that clock's own rate

The order was refused or dropped, as it must be; only this check of the history complained. Checked: the row was written with the time of writing. A process that is stopped between its look at the clock and that line (the nemesis does just this) writes it after its lease, though the decision was made within it; what happens to such an order is judged by the receivers' rows. Also, a slow clock (1% off) had its lease's end told up to 20 ms too early. Cause: service._record stamped with the time of writing, and converted its own clock's times without its rate. Change: an act states how long ago its clock was looked at, and how much of the lease its own clock has left; the rig, which set the clock, converts both. Two clocks that are read apart (stopped in between) are read again.

--- a/sailrun/lab/faults/history.py
+++ b/sailrun/lab/faults/history.py
@@ -3,9 +3,9 @@
 
 Rows have `at_us` (the shared time), `node` and `kind`; the rest is by kind:
 
+- `act` task, term, number: an order was made, at the moment when the clock was looked at for it;
 - `hold` task, term, until_us (shared time): the node takes itself for the owner until then;
 - `lost` task, term: it does so no longer;
-- `send` task, term, number: an order left the node;
 - `take`, `refuse` task, term, number: what became of an order where it came to;
 - `use` subject, until_us, `unuse` subject: a permit is in use until then, or no longer;
 - `died`: the process was killed, and nothing of its own holds any more; `fault`: what the nemesis did.
--- a/sailrun/lab/faults/rig.py
+++ b/sailrun/lab/faults/rig.py
@@ -71,6 +71,7 @@
     process: Process | None = None
     lives: int = 0
     stop: int = 0
+    rate: float = 1.0  # of its clock
     owns: dict[str, int] = field(default_factory=dict)  # by task, until when, as it has said
 
 
@@ -156,7 +157,7 @@
 
     async def _run(self, node: RealNode, clock_s: float) -> None:
         arguments = ["serve", "--config", str(self._config(node)), "--operator", str(self._operator(node))]
-        rate = 1.0 + 0.01 * self._luck.choice((-1, 0, 1))
+        rate = node.rate = 1.0 + 0.01 * self._luck.choice((-1, 0, 1))
         skewed = [sys.executable, "-m", "sailrun.lab.faults.skewed", str(clock_s), str(rate), *arguments]
         environment = {k: v for k, v in os.environ.items() if not k.startswith(("RELAY_", "SAILRUN_"))}
         process = await anyio.open_process(
@@ -192,7 +193,13 @@
             if sep:
                 facts[key] = int(value) if value.lstrip("-").isdigit() else value
         if what == "act" and "kind" in facts:
-            self.row(facts.pop("kind"), node.name, facts.pop("at_us"), **facts)
+            at_us = facts.pop("at_us")
+            # Its own clock is wrong by what it was started with.
+            if "left_us" in facts:
+                facts["until_us"] = at_us + int(facts.pop("left_us") / node.rate)
+            if "ago_us" in facts:
+                at_us -= int(facts.pop("ago_us") / node.rate)
+            self.row(facts.pop("kind"), node.name, at_us, **facts)
             if self.rows[-1]["kind"] == "hold":
                 node.owns[facts["task"]] = facts["until_us"]
             elif self.rows[-1]["kind"] == "lost":
--- a/sailrun/lab/faults/virtual.py
+++ b/sailrun/lab/faults/virtual.py
@@ -127,6 +127,7 @@
         def record(kind: str, **facts: Any) -> None:
             if "until_us" in facts:
                 facts["until_us"] = self._shared_us(node, facts["until_us"])
+            facts.pop("made_us", None)  # the very moment
             self.row(kind, name, **facts)
 
         wall_s = (self.time.now_us - BEGIN_US) / SECOND + 1.8e9 + clock_s
--- a/sailrun/owners/agent.py
+++ b/sailrun/owners/agent.py
@@ -289,7 +289,7 @@
         if content is None:
             return []
         order = Order(question.task, term, question.number, content)
-        self._act("act", task=question.task, term=term, number=question.number, to=sender)
+        self._act("act", task=question.task, term=term, number=question.number, to=sender, made_us=now_us)
         self.tallies.orders_sent += 1
         if sender == self.name:
             return self._ordered(now_us, self.name, order)
--- a/sailrun/owners/service.py
+++ b/sailrun/owners/service.py
@@ -34,6 +34,8 @@
 SECOND = 1_000_000
 # While a node drains for a walk, it is looked at this often whether it is empty.
 LOOK_US = 200_000
+# Two clocks are looked at within this, or once more.
+CLOCKS_US, CLOCKS_TRIES = 500, 10
 
 
 def agent_terms(operator: Operator) -> AgentTerms:
@@ -346,12 +348,18 @@
 
 
 def _record(kind: str, **facts: Any) -> None:
-    """For the laboratory: every act, in the time that all processes of a machine share."""
-    # What was counted by the clock that goes on in a machine's sleep is told by the other one.
-    apart_us = time.monotonic_ns() // 1000 - boot_us()
+    """For the laboratory: every act, in the time that all processes of a machine share, and how far this
+    node's own clock had what it names before or after.
+    """
+    for _ in range(CLOCKS_TRIES):
+        at_us, own_us = time.monotonic_ns() // 1000, boot_us()
+        if time.monotonic_ns() // 1000 - at_us < CLOCKS_US:
+            break  # else this process was stopped between its looks at the clocks
     if "until_us" in facts:
-        facts["until_us"] += apart_us
-    log("act", kind=kind, at_us=time.monotonic_ns() // 1000, **facts)
+        facts["left_us"] = facts.pop("until_us") - own_us
+    if "made_us" in facts:
+        facts["ago_us"] = own_us - facts.pop("made_us")
+    log("act", kind=kind, at_us=at_us, **facts)
 
 
 def _forget(kind: str, **facts: Any) -> None:
