Part the tier's sums out of the core, and take others' beliefs as what was learned

Checked: the module has an event for what a predecessor learned (Recalled), with the time a form server is ejected until and its trial; nothing new is needed in decide.py. The rounds, their latest sum and the predecessor's part touch the rest of the core in four places.

--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -18,27 +18,24 @@
 from sailrun import interface as i
 from sailrun import recollection
 from sailrun.decide import Balancer
-from sailrun.fleet.digest import VERSION
-from sailrun.fleet.known import Others
-from sailrun.fleet.rounds import AGE_US, Holding, Outgoing, Rounds
+from sailrun.fleet.rounds import Holding, Outgoing, Rounds
 from sailrun.node.aside import Aside
 from sailrun.node.clock import Clock, log
 from sailrun.node.counts import Counts, Figures
+from sailrun.node.hearsay import Believed, Hearsay
 from sailrun.node.leaving import Leaving, Reason
 from sailrun.node.passage import Held, State, Take
 from sailrun.node.reply import Reply
 from sailrun.node.session import FormServer, FormSession, Placement, RosterNews, server_number
+from sailrun.node.tier import Tier
 from sailrun.node.watch import ServerWatch
 
 if TYPE_CHECKING:
     from sailrun.rebalance.balance import Rebalancer
 
 SECOND = 1_000_000
-FLEET = bytes((VERSION,))
 SWEEP_US = 100_000
 PULSE_US = 10 * SECOND
-# What is known of the others is told anew as it ages; should that fail to come, it ends.
-OTHERS_US = 4 * AGE_US
 
 
 class Roster(Protocol):
@@ -89,11 +86,12 @@
         self._out_by_hand: set[str] = set()  # form servers that staff took out, by name
         self._now = clock.now_us()
         self._module = Balancer(settings, seed, self._now)
-        # What the tier holds together, where its nodes may talk.
-        self._fleet: Rounds | None = None
-        self._heard_of = 0  # nodes that the last sum spoke for
+        self._hearsay = Hearsay(self._module, log)
+        rounds = None
         if settings.peer_messages and settings.instances > 1:
-            self._fleet = Rounds(settings.index, settings.instances, seed, self._now)
+            rounds = Rounds(settings.index, settings.instances, seed, self._now)
+        # What the tier holds together, where its nodes may talk.
+        self._tier = Tier(rounds, self._now)
         self._calls: deque[Callable[[], None]] = deque()
         self._sessions: dict[str, FormSession] = {}
         self._form_servers: dict[int, FormServer] = {}
@@ -109,9 +107,6 @@
         self._known, self._passed = known, passed
         self._revision = known.revision
         self._take: Take | None = None  # hands a standing session to the successor
-        self._predecessor: Held | None = None  # what the process before this one still holds
-        self._others: Others | None = None  # what the other nodes hold, for as long as that is known
-        self._others_until_us = self._now
         # Told of what staff ask of this process, where another one is to hear of it.
         self.on_staff: Callable[[str, Any], None] = lambda kind, content: None
         self.stopped = False
@@ -205,6 +200,10 @@
         """Takes a form server out, or puts it back; False where none of that name is listed or out."""
         self._post(lambda: reply(self._by_hand(name, out)))
 
+    def lists(self, name: str, reply: Reply[bool]) -> None:
+        """Whether a form server of that name is listed here, or out by hand."""
+        self._post(lambda: reply(self._lists(name)))
+
     @property
     def admits(self) -> bool:
         """Whether whoever spreads the households over the nodes should count on this one."""
@@ -218,6 +217,15 @@
         """This node's part of the fleet's pace of moves, 0 to 1; answers whether it moves any households."""
         self._post(lambda: reply(self.aside.lend(share)))
 
+    # What nodes of a fleet tell each other.
+
+    def believed(self, reply: Reply[Believed]) -> None:
+        self._post(lambda: reply(self._hearsay.believed(self._now, self._form_servers)))
+
+    def hear_say(self, out: dict[str, int], setup_us: int) -> None:
+        """Form servers by name that others keep away from, with for how much longer (us)."""
+        self._post(self._hear_say, out, setup_us)
+
     # What passes between two processes that are one node.
 
     def pass_on(self, reply: Reply[State]) -> None:
@@ -275,8 +283,10 @@
 
     def due_us(self) -> int:
         """When a turn is due even if nobody calls."""
-        fleet_us = self._fleet.due_us() if self._fleet is not None and self._tells else self._sweep_us
-        return min(self._sweep_us, fleet_us, self._timers[0][0] if self._timers else self._sweep_us)
+        tier_us = self._tier.due_us() if self._tells else None
+        return min(
+            self._sweep_us, tier_us or self._sweep_us, self._timers[0][0] if self._timers else self._sweep_us
+        )
 
     def turn(self, now_us: int) -> None:
         """Does all that has come in, and what the time has come for."""
@@ -285,8 +295,9 @@
             self._calls.popleft()()
         while self._timers and self._timers[0][0] <= self._now:
             self._feed(i.TimerFired(heapq.heappop(self._timers)[1]))
-        if self._fleet is not None and self._tells and self._now >= self._fleet.due_us():
-            self._fleet_says(self._fleet.turn(self._now, self._holding()))
+        tier_us = self._tier.due_us() if self._tells else None
+        if tier_us is not None and self._now >= tier_us:
+            self._tier_says(self._tier.turn(self._now, self._own_holding()))
         if self._now >= self._sweep_us:
             self._sweep_us = self._now + SWEEP_US
             self._sweep()
@@ -528,41 +539,21 @@
         """Whether it is this process that speaks for the node: of two, the successor."""
         return Reason.SUCCEEDED not in self.leaving
 
-    def _holding(self) -> Holding:
-        """What the node holds, a predecessor's part included."""
-        own = Holding(*self._module.holding())
-        before = self._predecessor
-        if before is None or before.told is not own.told:
-            return own
-        loads = {number: load + before.loads.get(number, 0.0) for number, load in own.loads.items()}
-        return replace(own, loads=loads, connections=own.connections + before.connections)
+    def _own_holding(self) -> Holding:
+        return Holding(*self._module.holding())
 
-    def _fleet_says(self, said: tuple[list[Outgoing], Others | None]) -> None:
+    def _tier_says(self, outgoing: list[Outgoing]) -> None:
         """Sends what the rounds have to send, and tells the module what is known of the others by now."""
-        outgoing, others = said
         for neighbour, content in outgoing:
             if self.neighbours is not None:
                 self.neighbours.tell(neighbour, content)
-        if others is not None:
-            self._heard_of = others.nodes
-            self._others, self._others_until_us = others, self._now + OTHERS_US
-            self._count_others()
-
-    def _count_others(self) -> None:
-        """Tells the module what others hold: the other nodes, and the process before this one."""
-        others, before = self._others, self._predecessor
-        if others is None or self._now >= self._others_until_us:
-            others = Others({}, 0, before is not None and before.told, 1, frozenset())
-        loads, connections = others.loads, others.connections
-        if before is not None and (before.told is others.told or not connections):
-            loads = {n: loads.get(n, 0.0) + before.loads.get(n, 0.0) for n in {*loads, *before.loads}}
-            connections += before.connections
-        told = others.told if others.connections or before is None else before.told
-        self._feed(i.OthersHold(loads, connections, told, others.nodes, others.warned, others.until_us))
+        if self._tier.news:
+            self._feed(self._tier.others_hold(self._now))
 
     def _neighbour_said(self, neighbour: int, content: bytes) -> None:
-        if self._fleet is not None and content[:1] == FLEET:
-            self._fleet_says(self._fleet.heard(self._now, neighbour, content, self._holding()))
+        outgoing = self._tier.heard(self._now, neighbour, content, self._own_holding)
+        if outgoing is not None:
+            self._tier_says(outgoing)
             return
         self.aside(lambda rebalancer: rebalancer.heard(self._now, neighbour, content))
         self._feed(i.PeerMessage(neighbour, content))
@@ -649,7 +640,7 @@
                 took = f"{delay_us / 1000:.1f}ms" if delay_us is not None else "-"
                 shown.append(f"{self._name(number)}:{len(watch.sessions)}/{took}")
         waiting = sum(1 for s in self._sessions.values() if not s.over)
-        fleet = f"{self._heard_of}/{self._fleet.refused}" if self._fleet is not None else None
+        fleet = self._tier.pulse()
         moved = ",".join(f"{cause.value}:{count}" for cause, count in self.counts.moves.items())
         self._log(
             "pulse", waiting=waiting, standing=",".join(shown) or "none", moved=moved or None, fleet=fleet
@@ -672,10 +663,11 @@
             self.counts.reconfig_failed += 1
 
     def _by_hand(self, name: str, out: bool) -> bool:
+        return self._lists(name) and self._hand(name, out)
+
+    def _lists(self, name: str) -> bool:
         known = self._form_servers.get(server_number(name))
-        if known is None or known.name != name:
-            return name in self._out_by_hand and self._hand(name, out)
-        return self._hand(name, out)
+        return name in self._out_by_hand or (known is not None and known.name == name)
 
     def _hand(self, name: str, out: bool) -> bool:
         if out is not (name in self._out_by_hand):
@@ -688,6 +680,14 @@
                 self.aside(lambda rebalancer: rebalancer.listed(self._now, i.ListKind.DELTA, entries))
         return True
 
+    def _hear_say(self, out: dict[str, int], setup_us: int) -> None:
+        sound = [n for n, watch in self._watches.items() if self._now - watch.heard_us < 10 * SECOND]
+        event = self._hearsay.told(
+            self._now, {server_number(n): left for n, left in out.items()}, sound, setup_us
+        )
+        if event is not None:
+            self._feed(event)
+
     def _drain(self, on: bool) -> bool:
         if on is not (Reason.DRAIN in self.leaving):
             self.on_staff("drain", on)
@@ -763,8 +763,8 @@
             self._log("successor-lost", sessions=len(self._standing()))
 
     def _predecessor_holds(self, held: Held | None) -> None:
-        self._predecessor = held
-        self._count_others()
+        self._tier.predecessor = held
+        self._feed(self._tier.others_hold(self._now))
 
     def _staff_said_elsewhere(self, kind: str, content: Any) -> None:
         match kind, content:
--- /dev/null
+++ b/sailrun/node/tier.py
@@ -0,0 +1,78 @@
+"""What the nodes of the tier hold together, as this one knows it: the rounds, their latest sum, and the part
+of a predecessor on this machine, which is this node's own.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from sailrun import interface as i
+from sailrun.fleet.digest import VERSION
+from sailrun.fleet.known import Others
+from sailrun.fleet.rounds import AGE_US, Holding, Outgoing, Rounds
+from sailrun.node.passage import Held
+
+FLEET = bytes((VERSION,))
+# What is known of the others is told anew as it ages; should that fail to come, it ends.
+OTHERS_US = 4 * AGE_US
+
+
+class Tier:
+    def __init__(self, rounds: Rounds | None, now_us: int) -> None:
+        """`rounds`: None where the nodes may not talk."""
+        self._rounds = rounds
+        self._heard_of = 0  # nodes that the last sum spoke for
+        self._others: Others | None = None  # what the other nodes hold, for as long as that is known
+        self._others_until_us = now_us
+        self.predecessor: Held | None = None  # what the process before this one still holds
+
+    def due_us(self) -> int | None:
+        return self._rounds.due_us() if self._rounds is not None else None
+
+    def turn(self, now_us: int, own: Holding) -> list[Outgoing]:
+        """What the rounds have to send, their time having come."""
+        assert self._rounds is not None
+        return self._said(now_us, self._rounds.turn(now_us, self.holding(own)))
+
+    def heard(
+        self, now_us: int, neighbour: int, content: bytes, own: Callable[[], Holding]
+    ) -> list[Outgoing] | None:
+        """What another node's word has this one send; None: it is not of the rounds."""
+        if self._rounds is None or content[:1] != FLEET:
+            return None
+        return self._said(now_us, self._rounds.heard(now_us, neighbour, content, self.holding(own())))
+
+    def _said(self, now_us: int, said: tuple[list[Outgoing], Others | None]) -> list[Outgoing]:
+        outgoing, others = said
+        if others is not None:
+            self._heard_of = others.nodes
+            self._others, self._others_until_us = others, now_us + OTHERS_US
+        self.news = others is not None
+        return outgoing
+
+    news = False  # whether the last call brought a new sum
+
+    def holding(self, own: Holding) -> Holding:
+        """What the node holds, a predecessor's part included."""
+        before = self.predecessor
+        if before is None or before.told is not own.told:
+            return own
+        loads = {number: load + before.loads.get(number, 0.0) for number, load in own.loads.items()}
+        return replace(own, loads=loads, connections=own.connections + before.connections)
+
+    def others_hold(self, now_us: int) -> i.OthersHold:
+        """What others hold: the other nodes, and the process before this one."""
+        others, before = self._others, self.predecessor
+        if others is None or now_us >= self._others_until_us:
+            others = Others({}, 0, before is not None and before.told, 1, frozenset())
+        loads, connections = others.loads, others.connections
+        if before is not None and (before.told is others.told or not connections):
+            loads = {n: loads.get(n, 0.0) + before.loads.get(n, 0.0) for n in {*loads, *before.loads}}
+            connections += before.connections
+        told = others.told if others.connections or before is None else before.told
+        return i.OthersHold(loads, connections, told, others.nodes, others.warned, others.until_us)
+
+    def pulse(self) -> str | None:
+        """For the log: nodes that the last sum spoke for, and messages refused."""
+        return f"{self._heard_of}/{self._rounds.refused}" if self._rounds is not None else None
