--- a/benchmarks/owners.py
+++ b/benchmarks/owners.py
@@ -16,6 +16,7 @@
 
 from sailrun.lab.faults.explore import Bounds, Explorer
 from sailrun.lab.faults.history import Judge
+from sailrun.lab.faults.nemesis import PLANS
 from sailrun.lab.faults.play import agent_terms, voters_among
 from sailrun.lab.faults.virtual import VirtualFleet
 from sailrun.lab.figures import quantile
@@ -36,7 +37,7 @@
         nodes,
         voters_among(nodes),
         zones,
-        lambda index, voters, joins: agent_terms(index, voters, joins, False),
+        lambda index, voters, joins: agent_terms(index, voters, joins, PLANS["owner"]),
         seed,
     )
     fleet.begin()
--- a/sailrun/owners/shared.py
+++ b/sailrun/owners/shared.py
@@ -42,7 +42,7 @@
         self._told_us = 0
         self._task = READER + agent.zone
         self._subject = f"{show_address(source.address)} {agent.zone}"  # of the list in the fleet's copies
-        self._keep: tuple[int, list[dict[str, Any]]] | None = None  # a list for them
+        self._kept = -1  # the revision of the list that this node put there last
         self._answer = lambda now_us, sender, content: self._reading.answer(content)
         agent.answers[self._task] = self._answer
 
@@ -81,10 +81,7 @@
         for entry in news.form_servers:
             self._listed[entry.name] = entry
         if news.kind is not ListKind.DELTA or news.form_servers or self._reading.revision < 0:
-            members = [_as_json(entry) for entry in self._listed.values()]
-            self._reading.read(news.revision, members)
-            if self._agent.replica is not None and self._reading.owner:
-                self._keep = (news.revision, members)
+            self._reading.read(news.revision, [_as_json(entry) for entry in self._listed.values()])
         else:
             self._reading.revision = news.revision
         self._node.roster_told(news)
@@ -107,9 +104,10 @@
     def turn(self, now_us: int) -> list[Out]:
         """Called by the agent's task."""
         self._reading.owner = bool(self._agent.tenures.holds(self._task, now_us))
-        if self._keep is not None and self._agent.replica is not None:
-            (revision, members), self._keep = self._keep, None
-            keep_list(self._agent.replica, now_us, self._subject, revision, members)
+        replica, revision = self._agent.replica, self._reading.revision
+        if replica is not None and self._reading.owner and revision != self._kept and replica.sync.whole:
+            self._kept = revision
+            keep_list(replica, now_us, self._subject, revision, self._reading.members)
         reads = self._reading.reads(now_us) or self._reading.revision < 0
         if reads is not self._reads:
             self._reads = reads
--- a/sailrun/replica/keeper.py
+++ b/sailrun/replica/keeper.py
@@ -144,7 +144,7 @@
     def _leaves(self, groups: list[int]) -> dict[int, list[int]]:
         """Digests of the ranges in firm groups that differ from these."""
         mine = self._store.groups()[: len(groups)]
-        pairs = enumerate(zip(mine, groups, strict=True))
+        pairs = enumerate(zip(mine, groups, strict=False))
         return {n: self._store.leaves(n) for n, (a, b) in pairs if a != b}
 
     def differing(self, leaves: dict[int, list[int]]) -> list[int]:
@@ -168,8 +168,8 @@
             while len(self._levels) >= 16:
                 del self._levels[next(iter(self._levels))]
             self._levels[key] = False
-            ranges = [n * GROUP + k for n, g in enumerate(groups) if g != self._store.groups()[n]
-                      for k in range(GROUP)]  # fmt: skip
+            pairs = enumerate(zip(self._store.groups(), groups, strict=False))
+            ranges = [n * GROUP + k for n, (a, b) in pairs if a != b for k in range(GROUP)]
 
             def done(now_us: int, whole: bool) -> None:
                 if key in self._levels:
--- a/sailrun/replica/lists.py
+++ b/sailrun/replica/lists.py
@@ -17,6 +17,8 @@
     replica: Replica, now_us: int, subject: str, revision: int, members: list[dict[str, Any]]
 ) -> None:
     """Puts a list among the copies; one that is too long for a record stays out."""
+    if revision < 0:
+        return
     content = json.dumps(sorted(members, key=lambda m: str(m["id"])), sort_keys=True).encode()
     if len(content) <= LONGEST_CONTENT:
         replica.keep_list(now_us, subject, revision, content)
--- a/sailrun/replica/office.py
+++ b/sailrun/replica/office.py
@@ -228,7 +228,9 @@
         ids = self._ids(record)
         if op.id in ids:
             # Done under a former term; a majority held it before this one opened.
-            return Said(op.id, "done", self.term, self._majority(), len(self._voters().all()))
+            return Said(
+                op.id, "done", self.term, len(self._voters().all()) // 2 + 1, len(self._voters().all())
+            )
         if len(ids) >= MOST_IDS and not self._recent(now_us):
             return Said(op.id, "unknown", self.term, why="too much was written there meanwhile")
         if sum(not w.round.stands for w in self._writes.values()) >= MOST_OPEN:
@@ -275,16 +277,13 @@
         self._sync.take_in(now_us, [record], 0)
         return self._round(now_us, number, lambda: Put(self.term, number, epoch, [record]), done)
 
-    def _majority(self) -> int:
-        return len(self._voters().all()) // 2 + 1
-
     def _stands(self, op: Op) -> Said:
         write = self._writes.get(op.id)
         if write is None:
             return Said(op.id, "unknown", self.term)
         made = write.round
-        copies = len(made.acks.keys() | made.kept)
-        of = len({*self._voters().all(), *made.others})
+        copies = len({*made.acks, *made.kept, self._me})
+        of = len({*self._voters().all(), *made.others, self._me})
         state = ("waits" if write.waits else "done") if made.stands else "pending"
         alive = {n for n in made.others if self._members.lives(n)}
         everybody = bool(made.others) and alive <= made.kept | made.acks.keys()
