--- a/sailrun/control/cli.py
+++ b/sailrun/control/cli.py
@@ -211,7 +211,8 @@
     since = "never level with the owner" if lag["s"] is None else f"level {lag['s']:g} s ago"
     stale = ", STALE" if lag["stale"] else ""
     whole = "" if shown["whole"] else ", catching up"
-    print(f"{shown['node']}: {since}, {lag['records']} records behind{whole}{stale}")
+    votes = ", a voter that waits for those who remember" if shown["voter"] == "waits" else ""
+    print(f"{shown['node']}: {since}, {lag['records']} records behind{whole}{stale}{votes}")
     if behind:
         raise typer.Exit(1 if lag["stale"] else 0)
     rows = shown["conflicts"] if conflicts else shown["records"]
--- a/sailrun/replica/office.py
+++ b/sailrun/replica/office.py
@@ -212,6 +212,8 @@
             return Said(op.id, "other", self.term)
         if not self.open or self._forgetting or self._sync.epoch != self._epoch:
             return Said(op.id, "opening", self.term)
+        if any(kind == op.kind for kind, _, _ in self._sync.lost):
+            return Said(op.id, "opening", self.term)  # a mark was spoilt here, and is had again
         key = (op.kind, op.subject, "")
         if op.what == "look":
             if any(w.key == key and not w.round.stands for w in self._writes.values()):
--- a/sailrun/replica/replica.py
+++ b/sailrun/replica/replica.py
@@ -121,6 +121,7 @@
         self.office: Office | None = None
         self.use_voters(now_us)
         self.sync.on_thrown = self._thrown
+        self.sync.on_lost = lambda key: self._touched.add(key) if key[0] in KINDS else None
         self._actor = f"{name}/{life:x}"
         self._count = 0
         self._beliefs = 0
--- a/sailrun/replica/state.py
+++ b/sailrun/replica/state.py
@@ -22,6 +22,8 @@
         "node": replica.name,
         "whole": replica.sync.whole,
         "epoch": replica.sync.epoch,
+        # Of a voter: whether it remembers, or waits for those who do.
+        "voter": None if replica.keeper is None else "remembers" if replica.keeper.remembers else "waits",
         "behind": {
             "records": replica.lacks if replica.sync.whole else max(replica.lacks, replica.sync.missing),
             "s": None if behind_s is None else round(behind_s, 3),
--- a/sailrun/replica/sync.py
+++ b/sailrun/replica/sync.py
@@ -47,6 +47,8 @@
 VOTES, VOTE_US = 3, SECOND
 # More spoilt records than this at a time: the copy is thrown away.
 MOST_SPOILT = 16
+# A record that was spoilt here, and that nobody has told again within this, was nowhere else.
+LOST_US = 10 * SECOND
 SCRUB_US = SECOND
 FORGOTTEN: Key = ("fleet", "forgotten", "")
 Items = list[tuple[Key, str, Count]]
@@ -100,9 +102,10 @@
         self.giver = Giver(terms)
         # The copy was thrown away; told whether others counted on what it held.
         self.on_thrown: Callable[[int, bool], None] = lambda now_us, counted: None
+        self.on_lost: Callable[[Key], None] = lambda key: None  # nobody had the record
         self._hot: OrderedDict[Key, int] = OrderedDict()  # by key, how often told
         self._attic: list[Record] = []  # of a copy thrown away: what nodes said on their own word
-        self.lost: set[Key] = set()  # records whose bytes were spoilt, to be had again from others
+        self.lost: dict[Key, int] = {}  # records whose bytes were spoilt, to be had again by a time
         self._sums: dict[int, str] = {}  # sums that were sent, and to whom
         self._answered: dict[str, int] = {}  # who has no whole copy either, as it said at that time
         self._left = set(range(ALL))  # ranges that are still to be copied
@@ -145,7 +148,7 @@
                 return False
             if took is Took.NEW:
                 if record.key in self.lost:
-                    self.lost.discard(record.key)
+                    del self.lost[record.key]
                     self.mended += 1
                     self.note("copy-mended", kind=record.kind, subject=record.subject)
                 if tell < TELLS:
@@ -414,7 +417,7 @@
             return
         for key in spoilt:
             self.note("copy-spoilt", kind=key[0], subject=key[1], observer=key[2] or None)
-            self.lost.add(key)
+            self.lost[key] = now_us + LOST_US
             self.store.remove(key)
             if self.whole:
                 self.on_thrown(now_us, True)
@@ -486,6 +489,10 @@
             self.store.age_out(now_us)
             if "mend" not in self._off:
                 self.store.scrub(min(1.0, SCRUB_US / SECOND / self.terms.scrub_s))
+            for key in [k for k, until_us in self.lost.items() if now_us >= until_us]:
+                del self.lost[key]
+                self.note("copy-lost", kind=key[0], subject=key[1], observer=key[2] or None)
+                self.on_lost(key)
         if self.store.spoilt:
             self._drop_spoilt(now_us)
         posts += self.taker.turn(now_us, self.epoch)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -22,6 +22,7 @@
 from sailrun.members.messages import State
 from sailrun.members.swim import Members
 from sailrun.members.terms import MembersTerms
+from sailrun.node.hearsay import Hearsay
 from sailrun.owners.envelope import BadMessage, Envelope, pack, unpack
 from sailrun.owners.quorum import Voters
 from sailrun.owners.terms import OwnersTerms
@@ -46,6 +47,7 @@
 from sailrun.replica.store import ALL, RANGES, Store, Took, range_of
 from sailrun.replica.sync import FORGOTTEN
 from sailrun.replica.terms import ReplicaTerms
+from tests.support import Relay, full
 
 SECOND = 1_000_000
 KEY = ("out", "s-00000001", "")
@@ -558,3 +560,51 @@
 def test_the_exploration_finds_each_rule_that_is_off(rule: str, first: int) -> None:
     found = explore_copies(100, off=frozenset((rule,)), first=first)
     assert found.fault
+
+
+def bad_attempts(hearsay_again_us: int | None) -> tuple[int, int]:
+    """A node just started, twenty form servers, one of which times every attempt out; sixty households a
+    second for 10 s. Returns attempts there and how many households were brought up at once.
+    """
+    relay, brought_up = Relay(seed=3), 0
+    relay.feed(full(*range(1, 21)))
+    bad = 7
+    hearsay = Hearsay(relay.balancer, lambda *a, **k: None)
+    for n in range(50):
+        now_us = relay.now
+        if hearsay_again_us is not None and n % 5 == 0:
+            event = hearsay.told(now_us, {bad: 30 * SECOND - n * 200_000}, (), 10_000)
+            if event is not None:
+                relay.feed(event)
+        names = [relay.ask(key=f"k{n % 7}-{m}", left_us=1_200_000) for m in range(12)]
+        relay.advance(20_000)
+        for name in names:
+            if name in relay.attempts and relay.attempts[name].backend != bad:
+                relay.opened(name)
+        relay.advance(180_000)
+        brought_up += sum(name in relay.attempts and relay.attempts[name].stands for name in names)
+    relay.finish()
+    sends = [backend for promise in relay.promises.values() for backend, _ in promise.sends]
+    return sends.count(bad), brought_up
+
+
+def test_a_node_just_started_spares_the_form_server_that_others_found_bad() -> None:
+    without, up_without = bad_attempts(None)
+    with_, up_with = bad_attempts(SECOND)
+    assert without >= 3 and 5 * with_ <= without, (without, with_)
+    assert up_with > up_without >= 500
+
+
+def test_hearsay_never_keeps_away_from_much_nor_for_long_nor_from_who_answered_here() -> None:
+    relay = Relay(seed=3)
+    relay.feed(full(*range(1, 10)))
+    hearsay = Hearsay(relay.balancer, lambda *a, **k: None)
+    event = hearsay.told(relay.now, dict.fromkeys(range(1, 10), 60 * SECOND), {1}, 0)
+    assert event is not None
+    relay.feed(event)
+    away = relay.balancer.avoided(relay.now)
+    assert len(away) == 3 and 1 not in away
+    assert hearsay.believed(relay.now, {}).out == {}
+    assert hearsay.told(relay.now + 12 * SECOND, {away[0]: 60 * SECOND}, (), 0) is None  # tried first
+    relay.advance(10 * SECOND)
+    assert relay.balancer.avoided(relay.now) == []
