Look copies up by kind without sorting all, and settle what a predecessor had out

Seen: beliefs are read each second; a copy of 20,000 records was sorted for each look. A successor was handed the form servers its predecessor had out, and kept one out that the fleet had put back meanwhile. Change: a sorted index by key, soft records apart; once level with the owner for the first time, a node puts back what no mark has out.

--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -200,6 +200,9 @@
         """Takes a form server out, or puts it back; False where none of that name is listed or out."""
         self._post(lambda: reply(self._by_hand(name, out)))
 
+    def out_by_hand(self, reply: Reply[frozenset[str]]) -> None:
+        self._post(lambda: reply(frozenset(self._out_by_hand)))
+
     def lists(self, name: str, reply: Reply[bool]) -> None:
         """Whether a form server of that name is listed here, or out by hand."""
         self._post(lambda: reply(self._lists(name)))
--- a/sailrun/replica/service.py
+++ b/sailrun/replica/service.py
@@ -41,6 +41,7 @@
         )  # form servers that are out by a mark, and that the core does not list
         self.answers: dict[str, Answer | None] = {}  # by id of the mark; None: under way
         self._drains = False
+        self._settled = False  # what this process was handed is as the fleet has it
 
     # ------------------------------------------------------------------ after each turn of the agent
 
@@ -55,11 +56,26 @@
         if now_us < self._believe_us:
             return
         self._believe_us = now_us + BELIEVE_US
+        if not self._settled and not self._replica.stale(now_us):
+            self._settled = True
+            self._node.out_by_hand(lambda names: self._fleet.carrier.post(self._settle(names)))
         for subject in sorted(self._unknown):
             self._out(subject, True)
         self._node.believed(lambda believed: self._fleet.carrier.post(self._said(believed)))
         self._hear_say(now_us)
 
+    def _settle(self, names: frozenset[str]) -> Callable[[int], list[Out]]:
+        """What a predecessor on this machine had out, and the fleet has put back since, goes back."""
+
+        def call(now_us: int) -> list[Out]:
+            marked = {s.subject for s in self._replica.standings() if s.kind == OUT and s.on}
+            for name in sorted(names - marked):
+                log("mark", kind=OUT, subject=name, on=False)
+                self._out(name, False)
+            return []
+
+        return call
+
     def _out(self, subject: str, on: bool) -> None:
         def done(known: bool) -> None:
             (self._unknown.add if on and not known else self._unknown.discard)(subject)
--- a/sailrun/replica/store.py
+++ b/sailrun/replica/store.py
@@ -54,6 +54,8 @@
         self.terms, self._salt, self._off = terms, salt, off
         self._entries: dict[Key, _Entry] = {}
         self._order: SortedList[tuple[int, Key]] = SortedList()
+        self._keys: SortedList[Key] = SortedList()
+        self._soft: set[Key] = set()
         self._digests = [0] * ALL
         self._counts = [0] * ALL
         self.bytes = 0
@@ -88,9 +90,9 @@
 
     def records(self, kind: str = "") -> Iterator[Record]:
         """By key; of one kind, or all."""
-        for key in sorted(self._entries):
-            if not kind or key[0] == kind:
-                yield self._entries[key].record
+        least, most = ((kind, "", ""), (f"{kind}\0", "", "")) if kind else (None, None)
+        for key in list(self._keys.irange(least, most)):
+            yield self._entries[key].record
 
     def age_us(self, now_us: int, key: Key) -> int:
         return now_us - self._entries[key].made_us
@@ -180,6 +182,9 @@
         number = range_of(record.key, record.soft)
         self._entries[record.key] = _Entry(record, mark, size, made_us)
         self._order.add((number, record.key))
+        self._keys.add(record.key)
+        if record.soft:
+            self._soft.add(record.key)
         self._digests[number] = (self._digests[number] + mark) & _64
         self._counts[number] += 1
         self.bytes += size
@@ -192,6 +197,8 @@
             return
         number = range_of(key, entry.record.soft)
         self._order.remove((number, key))
+        self._keys.remove(key)
+        self._soft.discard(key)
         self._digests[number] = (self._digests[number] - entry.mark) & _64
         self._counts[number] -= 1
         self.bytes -= entry.size
@@ -211,7 +218,7 @@
             ]:
                 self.remove(key)
         limit_us = self.terms.belief_s * SECOND
-        ended = [k for k, e in self._entries.items() if e.record.soft and now_us - e.made_us > limit_us]
+        ended = [k for k in self._soft if now_us - self._entries[k].made_us > limit_us]
         for key in ended:
             self.remove(key)
 
