Ask anew how copies differ once one was thrown away; keep what own words had seen

Cause: sync._compared went on with the answer to a sum of the copy it had just thrown away: groups that had been equal then counted as taken. _own_words kept a word aside without what it superseded. Change: sums under way are void when a copy is thrown away, and the giver is asked again; words set aside keep their context, less what is left out of them. copies-return and copies-differ kill an owner for certain; a word whose only copies died or were spoilt at once is no occasion.

--- a/sailrun/lab/faults/copies.py
+++ b/sailrun/lab/faults/copies.py
@@ -217,12 +217,22 @@
             if not out or not back or met:
                 continue
             subject = words[out[0]]["subject"]
+            if all(self._struck(words[i]["node"], subject, words[i]["at_us"]) for i in out):
+                continue  # the word went with its only copies
             for row in self._last_copies():
                 check.occasions += 1
                 if not any(row["marks"].get(subject, {}).get(i) for i in out):
                     self._fault(check, row["at_us"], f"{row['node']}: {subject} is not out")
         return check
 
+    def _struck(self, node: str, subject: str, at_us: int) -> bool:
+        """Whether that node died, or its copy of this was spoilt, before what it said then had spread."""
+        until_us = at_us + ALIKE_US
+        died = any(
+            r["kind"] == "died" and r["node"] == node and at_us <= r["at_us"] <= until_us for r in self.rows
+        )
+        return died or self._spoilt(node, subject, until_us)
+
     def _conflicts(self) -> Check:
         """Of two words that a copy shows beside each other, neither writer knew the other. Occasions: marks
         shown.
--- a/sailrun/lab/faults/nemesis.py
+++ b/sailrun/lab/faults/nemesis.py
@@ -342,6 +342,7 @@
     for at_s in (0.0, 9.0, 18.0):
         nemesis.at(CALM_BEGIN_S + at_s + luck.uniform(0.0, 4.0), away)
     nemesis.every(8.0, 14.0, nemesis.kill_one)
+    nemesis.surely(20.0, lambda name: nemesis.kill_for(name, 2.0 * nemesis.lease_s))
 
 
 def _copies_differ(nemesis: Nemesis) -> None:
@@ -350,6 +351,7 @@
     nemesis.every(1.5, 4.0, lambda: nemesis.fleet.spoil(nemesis.luck.choice(nemesis.fleet.names)))
     nemesis.at(CALM_BEGIN_S + 3.0, lambda: staff.on_both_sides(4.0, WEAK[3]))
     nemesis.every(8.0, 14.0, nemesis.kill_one)
+    nemesis.surely(18.0, lambda name: nemesis.kill_for(name, 2.0 * nemesis.lease_s))
 
 
 def _copies_roll(nemesis: Nemesis) -> None:
--- a/sailrun/replica/sync.py
+++ b/sailrun/replica/sync.py
@@ -237,9 +237,9 @@
         elif told.epoch > self.epoch:
             known = told.forgotten
             if not self.whole or known is None or not self.advance(now_us, known):
+                # What was told is how that copy differs from the one that is thrown away: it is asked anew.
                 self.begin_copy(now_us, told.epoch, "too far behind")
-                if not told.whole:
-                    return []
+                return self.ask(sender)
             if self.epoch != told.epoch:
                 return []
         elif told.epoch < self.epoch:
@@ -274,6 +274,7 @@
         self.store.clear()
         self._hot.clear()
         self._votes.clear()
+        self._sums.clear()  # answers under way are about the copy that is no more
         self._left, self._assigned, self._places = set(range(ALL)), {}, {}
         self._answered.clear()
         self.on_thrown(now_us, spoilt)
@@ -333,8 +334,7 @@
         for record in attic:
             words = [v for v in record.versions if v.count > gone.get((record.key, v.actor), (-1, -1))]
             if words:
-                seen = {v.actor: v.count for v in words}
-                self.take_in(now_us, [Record(*record.key, False, words, seen)], 0)
+                self.take_in(now_us, [Record(*record.key, False, words, record.seen)], 0)
 
     def _fresh(self, now_us: int) -> None:
         """Everybody who lives begins: nobody has a whole copy to give."""
@@ -536,8 +536,14 @@
 
 
 def _own_words(record: Record) -> Record | None:
-    """Of a record, what no owner wrote and nobody took back; None: nothing."""
-    if record.soft:
-        return None
+    """Of a record, what no owner wrote and nobody took back, with what its writers had seen; None: nothing.
+    What is left out is left out of what was seen as well: else it would count as superseded.
+    """
     words = [v for v in record.versions if v.actor != STRONG and not v.gone]
-    return Record(*record.key, False, words, {v.actor: v.count for v in words}) if words else None
+    if record.soft or not words:
+        return None
+    seen = dict(record.seen)
+    for version in record.versions:
+        if version not in words:
+            seen[version.actor] = (version.count[0], version.count[1] - 1)
+    return Record(*record.key, False, words, seen)
