--- a/sailrun/lab/faults/nemesis.py
+++ b/sailrun/lab/faults/nemesis.py
@@ -321,6 +321,7 @@
     staff = _Staff(nemesis)
     nemesis.every(7.0, 11.0, lambda: nemesis.part(nemesis.luck.random() < 0.8))
     nemesis.at(CALM_BEGIN_S + 4.0, lambda: staff.on_both_sides(5.0, WEAK[2]))
+    nemesis.at(CALM_BEGIN_S + 18.0, lambda: staff.on_both_sides(4.0, WEAK[3]))
     nemesis.surely(15.0, lambda name: nemesis.cut_off(name, 3.0 * nemesis.lease_s, True))
 
 
@@ -350,6 +351,7 @@
     staff = _Staff(nemesis)
     nemesis.every(1.5, 4.0, lambda: nemesis.fleet.spoil(nemesis.luck.choice(nemesis.fleet.names)))
     nemesis.at(CALM_BEGIN_S + 3.0, lambda: staff.on_both_sides(4.0, WEAK[3]))
+    nemesis.at(CALM_BEGIN_S + 14.0, lambda: staff.on_both_sides(4.0, WEAK[2]))
     nemesis.every(8.0, 14.0, nemesis.kill_one)
     nemesis.surely(18.0, lambda name: nemesis.kill_for(name, 2.0 * nemesis.lease_s))
 
