--- a/sailrun/lab/faults/rig.py
+++ b/sailrun/lab/faults/rig.py
@@ -59,6 +59,13 @@
     "fault",
     "order-refused",
     "pace",
+    "copy-begins",
+    "copy-whole",
+    "copy-lost",
+    "forgotten",
+    "marks-open",
+    "marks-remembered",
+    "marks-founded",
 )
 
 
@@ -335,7 +342,12 @@
             # What was answered holds for some time since it was asked: the earliest is what counts.
             if now_us() - at_us > LATE_US:
                 continue
-            facts = {"digest": state["digest"], "marks": shown(state["records"])}
+            facts = {
+                "digest": state["digest"],
+                "epoch": state["epoch"],
+                "copies": state["copies"],
+                "marks": shown(state["records"]),
+            }
             self.row("copy", name, at_us, whole=state["whole"], behind_s=behind_s, **facts)
 
     def _mark(self, name: str, subject: str, on: bool, wait: str) -> None:
--- a/sailrun/lab/faults/virtual.py
+++ b/sailrun/lab/faults/virtual.py
@@ -299,6 +299,8 @@
                     whole=state["whole"],
                     behind_s=behind_s,
                     digest=state["digest"],
+                    epoch=state["epoch"],
+                    copies=state["copies"],
                     marks=shown(state["records"]),
                 )
         self.time.after(self._copies_us, self._look_at_copies)
--- a/sailrun/replica/replica.py
+++ b/sailrun/replica/replica.py
@@ -436,6 +436,11 @@
             self._touched.clear()
             now_on = {(s.kind, s.subject) for s in marks(self.store) if s.on}
             now_on |= {k[:2] for k in self.sync.lost if k[:2] in self._used}
+            if self.sync.copies and self.level_us < 0:
+                # A copy just taken may be of a giver that is behind: what was out stays out until the owner
+                # was heard.
+                now_on |= self._used
+                self._look_over = True
         elif self._touched:
             now_on = set(self._used)
             for key in self._touched:
--- a/sailrun/replica/state.py
+++ b/sailrun/replica/state.py
@@ -22,6 +22,7 @@
         "node": replica.name,
         "whole": replica.sync.whole,
         "epoch": replica.sync.epoch,
+        "copies": replica.sync.copies,  # thrown away since the start
         # Of a voter: whether it remembers, or waits for those who do.
         "voter": None if replica.keeper is None else "remembers" if replica.keeper.remembers else "waits",
         "behind": {
