Let voters tell each other that nobody has a whole copy; the others take it from them

Seen: 103 nodes that began together never had a whole copy: each had to hear of every other within 3 s, and asked 15 a second. Change: voters alone decide that, as few as they are; who is not a voter waits for a giver, 10 s at most. Of three that are asked one is a voter; nobody is asked again within 0.5 s.

--- a/sailrun/replica/pulls.py
+++ b/sailrun/replica/pulls.py
@@ -120,7 +120,7 @@
         self.terms = terms
         self._takers: dict[str, int] = {}  # by name, when it last asked
         self._given_until_us = 0  # what was given so far fills the rate up to this time
-        self.refused = 0
+        self.refused = self.given = 0  # questions for a piece
 
     def asked(self, now_us: int, taker: str, take: Take, store: Store, whole: bool) -> Given | Busy:
         """`whole`: this node's own copy is; from another one only what is urgent is taken."""
@@ -134,6 +134,7 @@
                 self.refused += 1
                 return Busy(take.number, max(SECOND // 4, ahead_us) + (SECOND // 2 if crowded else 0))
             self._takers[taker] = now_us
+        self.given += 1
         ranges = sorted(set(take.ranges))
         records, after = store.page(now_us, ranges, take.after, self.terms.page_kb * KILO)
         size = sum(size_of(record) for record in records)
--- a/sailrun/replica/sync.py
+++ b/sailrun/replica/sync.py
@@ -40,9 +40,10 @@
 RUMOR_BYTES = 900
 # Those that take a whole copy ask so many givers at once.
 GIVERS = 3
-# Nobody has a whole copy, after so long among all who are known, or so long among all who live: what there
-# is, is the whole.
+# Nobody has a whole copy, as voters tell each other after so long, or none has come after so long: what there
+# is, is the whole. Whom one was asked of is not asked again at once.
 FRESH_US, PATIENT_US, ANSWERED_US = SECOND, 10 * SECOND, 3 * SECOND
+AGAIN_US = SECOND // 2
 # A copy that differs without a reason is asked of the voters so often, for so long each time.
 VOTES, VOTE_US = 3, SECOND
 # More spoilt records than this at a time: the copy is thrown away.
@@ -285,7 +286,6 @@
             if ranges and not self.taker.from_giver(giver):
                 # Nobody may have a whole copy: then all that any has makes one.
                 self.taker.begin(now_us, giver, ranges, lambda now_us, whole: None, urgent=True)
-            self._fresh(now_us)
             return
         self._answered.pop(giver, None)
         self.missing = told.records
@@ -337,23 +337,39 @@
                 self.take_in(now_us, [Record(*record.key, False, words, record.seen)], 0)
 
     def _fresh(self, now_us: int) -> None:
-        """Everybody who lives begins: nobody has a whole copy to give."""
-        living = {n for n in self._members.names if n != self._name}
-        known = {r.name for r, _ in self._members.known() if r.state is not State.LEFT} - {self._name}
-        said = {n for n in known if now_us - self._answered.get(n, -ANSWERED_US) < ANSWERED_US}
+        """Nobody has a whole copy to give. Voters tell each other so, as few as they are; the rest wait for
+        one of them, and where none comes go on with what there is.
+        """
         waited_us = now_us - self._begun_us
-        if living <= said and ((known <= said and waited_us >= FRESH_US) or waited_us >= PATIENT_US):
+        if waited_us >= PATIENT_US:
+            self._have_copied(now_us)
+            return
+        voters = set(self._voters())
+        if self._name not in voters or waited_us < FRESH_US:
+            return
+        there = {r.name for r, _ in self._members.known() if r.state is not State.LEFT} & voters
+        said = {n for n in there if now_us - self._answered.get(n, -ANSWERED_US) < ANSWERED_US}
+        if there <= said | {self._name}:
             self._have_copied(now_us)
 
     def _go_on_copying(self, now_us: int) -> list[Post]:
-        others = [n for n in self._members.names if n != self._name]
-        if not others:
-            self._fresh(now_us)
+        self._fresh(now_us)
+        if self.whole:
             return []
+        others = [n for n in self._members.names if n != self._name]
         free = [n for n in others if self._away.get(n, 0) <= now_us and self.taker.from_giver(n) is None]
         asked = GIVERS - sum(1 for p in self.taker.pulls if not p.urgent)
+        if asked <= 0 or not free:
+            return []
+        # A voter among them: those are the first to have one.
+        voters = set(self._voters())
+        picked = self._luck.sample(free, min(asked, len(free)))
+        first = [n for n in free if n in voters]
+        if first and not voters & set(picked):
+            picked[0] = self._luck.choice(first)
         posts: list[Post] = []
-        for name in self._luck.sample(free, min(asked, len(free))) if asked > 0 else ():
+        for name in picked:
+            self._away[name] = now_us + AGAIN_US
             posts += self.ask(name)
         return posts
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -387,7 +387,7 @@
     fleet.run(5.0)
     answer = put_mark(fleet, "n4", "s-00000001", True, everybody=True)
     assert (answer.state, answer.copies, answer.of) == ("done", 5, 5)
-    assert all(("out", "s-00000001", True) in part(fleet, n).uses for n in fleet.names)
+    until(fleet, lambda: all(("out", "s-00000001", True) in part(fleet, n).uses for n in fleet.names), 1.0)
     fleet.kill("n4")
     fleet.start("n4")
     until(fleet, lambda: ("out", "s-00000001", True) in part(fleet, "n4").uses, 5.0)
@@ -435,9 +435,8 @@
             key = ("tides", f"s-{n}", "")
             store.put(fleet.clock_us(fleet.nodes[name]), written(None, key, False, "x", (0, n), b"x" * 100))
     fleet.start("n4")
-    until(fleet, lambda: fleet.nodes["n4"].agent is not None and part(fleet, "n4").sync.taker.pieces >= 3)
-    one = {p.giver for p in part(fleet, "n4").sync.taker.pulls if not p.urgent}
-    assert len(one) >= 2
+    until(fleet, lambda: len({p.giver for p in part(fleet, "n4").sync.taker.pulls if not p.urgent}) >= 2, 3.0)
+    fleet.run(now_s(fleet) + 0.1)
     cut = fleet.cut(["n4"], ["n0", "n1", "n2", "n3"])
     fleet.run(now_s(fleet) + 4.0)
     had = len(part(fleet, "n4").store)
@@ -450,6 +449,23 @@
     assert taker.resumed >= 1 and taker.pieces < 40
 
 
+def test_sixty_nodes_begin_together_and_fifty_seven_return_at_once() -> None:
+    fleet = a_fleet(60, 9)
+    fleet.run(1.0)
+    until(fleet, lambda: all(part(fleet, n).sync.whole for n in fleet.names), 8.0)
+    put_mark(fleet, "n1", "s-00000001", True)
+    back = fleet.names[3:]
+    for name in back:
+        fleet.kill(name)
+    for name in back:
+        fleet.start(name)
+    fleet.run(now_s(fleet) + 1.0)
+    until(fleet, lambda: all(part(fleet, n).sync.whole for n in back), 12.0)
+    assert all(part(fleet, n).store.get(KEY) for n in fleet.names)
+    most = max(part(fleet, n).sync.giver.given for n in fleet.names[:3])
+    assert most < 57 * 3  # those that had caught up gave as well
+
+
 def test_two_copies_of_one_word_with_two_contents_are_settled_by_the_voters() -> None:
     fleet = a_fleet(5, 7)
     fleet.run(5.0)
