--- a/sailrun/replica/keeper.py
+++ b/sailrun/replica/keeper.py
@@ -98,7 +98,7 @@
                 if term < self.promised and "fence" not in self._off:
                     return [(sender, Higher(term, number, self.promised))]
                 self.promised = max(self.promised, term)
-                leaves = self._leaves(groups)
+                leaves = self._store.unlike(groups)
                 return [(sender, Promised(term, number, epoch, self.life, dict(self.lives), leaves))]
             case Put(term, number, epoch, records):
                 if not self._speaks(epoch):
@@ -127,7 +127,7 @@
                     return []
                 self.lives[sender] = max(life, self.lives.get(sender, 0))
                 told = Recovering(
-                    number, self._sync.epoch, self._all_lives(), self.promised, self._leaves(groups)
+                    number, self._sync.epoch, self._all_lives(), self.promised, self._store.unlike(groups)
                 )
                 return [(sender, told)]
             case Recovering():
@@ -141,22 +141,6 @@
     def _all_lives(self) -> dict[str, int]:
         return {**self.lives, self._name: max(self.life, self.lives.get(self._name, 0))}
 
-    def _leaves(self, groups: list[int]) -> dict[int, list[int]]:
-        """Digests of the ranges in firm groups that differ from these."""
-        mine = self._store.groups()[: len(groups)]
-        pairs = enumerate(zip(mine, groups, strict=False))
-        return {n: self._store.leaves(n) for n, (a, b) in pairs if a != b}
-
-    def differing(self, leaves: dict[int, list[int]]) -> list[int]:
-        """Ranges in which this copy is another than the one that was told of."""
-        return [
-            n * GROUP + k
-            for n, theirs in leaves.items()
-            if 0 <= n < len(self._store.groups())
-            for k, (a, b) in enumerate(zip(self._store.leaves(n), theirs, strict=False))
-            if a != b
-        ]
-
     def _level(self, now_us: int, sender: str, level: Level, groups: list[int]) -> list[Post]:
         """Takes over what the owner holds and this voter does not, and says so then."""
         key = (sender, level.number)
@@ -168,8 +152,7 @@
             while len(self._levels) >= 16:
                 del self._levels[next(iter(self._levels))]
             self._levels[key] = False
-            pairs = enumerate(zip(self._store.groups(), groups, strict=False))
-            ranges = [n * GROUP + k for n, (a, b) in pairs if a != b for k in range(GROUP)]
+            ranges = [n * GROUP + k for n in self._store.unlike(groups) for k in range(GROUP)]
 
             def done(now_us: int, whole: bool) -> None:
                 if key in self._levels:
@@ -250,7 +233,7 @@
                 back.taken.add(sender)
                 self._end_recovery(now_us, back)
 
-        ranges = self.differing(told.leaves)
+        ranges = self._store.differing(told.leaves)
         if ranges:
             self._sync.taker.begin(now_us, sender, ranges, done, urgent=True)
         else:
--- a/sailrun/replica/office.py
+++ b/sailrun/replica/office.py
@@ -165,7 +165,7 @@
         made = self._rounds.get(told.number)
         if made is None or sender not in self._voters().all() or sender in made.pulling | made.acks.keys():
             return
-        ranges = self._differing(told.leaves)
+        ranges = self._store.differing(told.leaves)
 
         def done(now_us: int, whole: bool) -> None:
             made.pulling.discard(sender)
@@ -178,15 +178,6 @@
         made.pulling.add(sender)
         self._sync.taker.begin(now_us, sender, ranges, done, urgent=True)
 
-    def _differing(self, leaves: dict[int, list[int]]) -> list[int]:
-        return [
-            n * GROUP + k
-            for n, theirs in leaves.items()
-            if 0 <= n < RANGES // GROUP
-            for k, (a, b) in enumerate(zip(self._store.leaves(n), theirs, strict=False))
-            if a != b
-        ]
-
     def _ack(self, now_us: int, made: _Round, voter: str, life: int, lives: dict[str, int]) -> None:
         made.acks[voter] = (life, lives)
         standing = consistent(made.acks) if "lives" not in self._off else set(made.acks)
@@ -202,8 +193,7 @@
         if op.what == "where":
             if not self.open or self._epoch != self._sync.epoch:
                 return None
-            firm = self._firm()
-            groups = [n for n, (a, b) in enumerate(zip(firm, op.groups, strict=False)) if a != b]
+            groups = list(self._store.unlike(op.groups[: RANGES // GROUP]))
             records = self._store.counts(r for n in groups for r in range(n * GROUP, (n + 1) * GROUP))
             return Said(op.id, "done" if not groups else "behind", self.term, records=records)
         if op.what == "poll" or (op.what == "mark" and op.id in self._writes):
--- a/sailrun/replica/store.py
+++ b/sailrun/replica/store.py
@@ -111,6 +111,21 @@
     def leaves(self, group: int) -> list[int]:
         return self._digests[group * GROUP : (group + 1) * GROUP]
 
+    def unlike(self, groups: list[int]) -> dict[int, list[int]]:
+        """The digests of ranges in those of the first groups that are not as told."""
+        pairs = enumerate(zip(self.groups(), groups, strict=False))
+        return {n: self.leaves(n) for n, (mine, told) in pairs if mine != told}
+
+    def differing(self, leaves: dict[int, list[int]]) -> list[int]:
+        """Ranges in which this copy is another than the one whose digests were told, by group."""
+        return [
+            n * GROUP + k
+            for n, told in leaves.items()
+            if 0 <= n < ALL // GROUP
+            for k, (mine, other) in enumerate(zip(self.leaves(n), told, strict=False))
+            if mine != other
+        ]
+
     def counts(self, ranges: Iterable[int]) -> int:
         return sum(self._counts[n] for n in ranges)
 
--- a/sailrun/replica/sync.py
+++ b/sailrun/replica/sync.py
@@ -216,17 +216,15 @@
         return [(name, Sum(number, self.epoch, self.store.groups(), self.whole))]
 
     def _summed(self, now_us: int, sender: str, told: Sum) -> list[Post]:
-        mine = self.store.groups()
-        groups = [n for n, (a, b) in enumerate(zip(mine, told.groups, strict=False)) if a != b]
-        leaves = {n: self.store.leaves(n) for n in groups}
-        records = self.store.counts(r for n in groups for r in range(n * GROUP, (n + 1) * GROUP))
+        leaves = self.store.unlike(told.groups)
+        records = self.store.counts(r for n in leaves for r in range(n * GROUP, (n + 1) * GROUP))
         forgotten = self.store.get(FORGOTTEN) if told.epoch < self.epoch else None
         posts: list[Post] = [
             (sender, Differs(told.number, self.epoch, leaves, records, self.whole, forgotten))
         ]
         if told.epoch > self.epoch:
             posts += self.ask(sender)
-        elif groups and told.whole and self.whole and sender not in self._next:
+        elif leaves and told.whole and self.whole and sender not in self._next:
             self._next.append(sender)
         return posts
 
@@ -245,13 +243,7 @@
                 return []
         elif told.epoch < self.epoch:
             return []
-        ranges = [
-            n * GROUP + k
-            for n, leaves in told.leaves.items()
-            if 0 <= n < ALL // GROUP
-            for k, (a, b) in enumerate(zip(self.store.leaves(n), leaves, strict=False))
-            if a != b
-        ]
+        ranges = self.store.differing(told.leaves)
         if not self.whole:
             self._copy_from(now_us, sender, told, ranges)
         elif ranges and self.taker.from_giver(sender) is None and len(self.taker.pulls) < 2 * GIVERS:
