Let a record hold as many words beside each other as a fleet has nodes

Every node had said its own word of one form server during a cut: 17 versions, over the 16 that a record might have, so that each refused what the other passed on (bad-record). Change: 1,024 versions and 4,096 actors; the bytes stay bounded by 2 MB.

--- a/sailrun/lab/faults/copies.py
+++ b/sailrun/lab/faults/copies.py
@@ -195,7 +195,9 @@
             if row["kind"] != "copy" or not row["whole"]:
                 continue
             if copies.get(node) != row["copies"]:
-                had.pop(node, None)  # another copy, of a giver that may have been behind for a moment
+                # Another copy, of a giver that may have been behind for a moment.
+                had.pop(node, None)
+                went.pop(node, None)
             copies[node] = row["copies"]
             for subject in {*row["marks"], *had[node]}:
                 if self._spoilt(node, subject, row["at_us"]):
--- a/sailrun/replica/records.py
+++ b/sailrun/replica/records.py
@@ -28,7 +28,8 @@
 
 STRONG = ""
 # Bounds on what is taken from a peer.
-LONGEST_WORD, MOST_VERSIONS, MOST_ACTORS, LONGEST_CONTENT = 200, 16, 128, 2 * 1024 * 1024
+# Each node of a fleet may have said its own word of a record.
+LONGEST_WORD, MOST_VERSIONS, MOST_ACTORS, LONGEST_CONTENT = 200, 1024, 4096, 2 * 1024 * 1024
 
 
 class Version(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -546,8 +546,9 @@
 @pytest.mark.parametrize("kind", [k for k, plan in PLANS.items() if plan.copies])
 def test_days_of_copies_keep_every_rule(kind: str) -> None:
     # The last ones found a copy taken for whole that was empty, and a word whose context went with its copy.
-    for seed in (7001, 1059, 1033):
-        played = play_virtual(FaultDay(kind, seed))
+    # With 17 nodes, more words stood beside each other than a record could hold.
+    for seed, nodes in ((7001, 5), (1059, 5), (1033, 5), (6, 17)):
+        played = play_virtual(FaultDay(kind, seed, nodes=nodes))
         assert not [(c.name, c.faults) for c in played.checks if c.value > c.limit]
 
 
