Mend what reading the change over found: a check that could not fail, spare state

Seen: a test said `behind_s or 0 > 3.0`, true of any time but 0; Keeper.founded and Said.count were set and never read; a class attribute stood in for state of Tier and Replica; Office._recent answered the opposite of its name. Change: the test looks at the time itself (and holds); the spare state is gone, the rest is in __init__ and named for what it says. Measured: tests of copies and of the tier's rounds pass.

--- a/sailrun/node/tier.py
+++ b/sailrun/node/tier.py
@@ -25,6 +25,7 @@
         self._heard_of = 0  # nodes that the last sum spoke for
         self._others: Others | None = None  # what the other nodes hold, for as long as that is known
         self._others_until_us = now_us
+        self.news = False  # whether the last call brought a new sum
         self.predecessor: Held | None = None  # what the process before this one still holds
 
     def due_us(self) -> int | None:
@@ -51,8 +52,6 @@
         self.news = others is not None
         return outgoing
 
-    news = False  # whether the last call brought a new sum
-
     def holding(self, own: Holding) -> Holding:
         """What the node holds, a predecessor's part included."""
         before = self.predecessor
--- a/sailrun/replica/keeper.py
+++ b/sailrun/replica/keeper.py
@@ -77,7 +77,6 @@
         self.lives: dict[str, int] = {}
         self.promised = 0
         self.remembers = "lives" in off
-        self.founded = False
         self._recovery = _Recovery(sync.next_number(), now_us)
         self._ask_us = now_us
         self._levels: dict[tuple[str, int], bool] = {}  # (owner, number): whether it is reached
@@ -214,7 +213,7 @@
                 if name != self._name:
                     self.lives[name] = max(life, self.lives.get(name, 0))
         self.promised = max([self.promised, *(known.promised for known in back.known.values())])
-        self.remembers, self.founded = True, True
+        self.remembers = True
         self._sync.note("marks-founded", life=self.life, records=len(self._store))
 
     def _recovering(self, now_us: int, sender: str, told: Recovering) -> list[Post]:
--- a/sailrun/replica/messages.py
+++ b/sailrun/replica/messages.py
@@ -232,4 +232,3 @@
     why: str = ""
     versions: list[tuple[bytes, bool]] = []  # `look`: contents, and whether each takes the mark back
     records: int = 0  # `where`: how many records the asker may lack
-    count: int = 0
--- a/sailrun/replica/office.py
+++ b/sailrun/replica/office.py
@@ -223,7 +223,7 @@
             return Said(
                 op.id, "done", self.term, len(self._voters().all()) // 2 + 1, len(self._voters().all())
             )
-        if len(ids) >= MOST_IDS and not self._recent(now_us):
+        if len(ids) >= MOST_IDS and not self._long_ago(now_us):
             return Said(op.id, "unknown", self.term, why="too much was written there meanwhile")
         if sum(not w.round.stands for w in self._writes.values()) >= MOST_OPEN:
             return Said(op.id, "refused", self.term, why=f"{MOST_OPEN} marks are under way")
@@ -233,7 +233,7 @@
             made.round.others = {n for n in self._members.names if n != self._me}
         return self._stands(op)
 
-    def _recent(self, now_us: int) -> bool:
+    def _long_ago(self, now_us: int) -> bool:
         """Whether nobody can ask again for what was written under a former term: long ago."""
         return now_us - self._began_us > 2 * AFTER_US
 
@@ -279,7 +279,7 @@
         state = ("waits" if write.waits else "done") if made.stands else "pending"
         alive = {n for n in made.others if self._members.lives(n)}
         everybody = bool(made.others) and alive <= made.kept | made.acks.keys()
-        return Said(op.id, state, self.term, copies, of, everybody, count=write.round.number)
+        return Said(op.id, state, self.term, copies, of, everybody)
 
     # ------------------------------------------------------------------ time
 
--- a/sailrun/replica/replica.py
+++ b/sailrun/replica/replica.py
@@ -16,7 +16,7 @@
 from sailrun.members.swim import Members
 from sailrun.owners.quorum import Voters
 from sailrun.replica.keeper import Keeper
-from sailrun.replica.marks import DRAIN, KINDS, OUT, Mark, Standing, marks, pack, standing, unpack
+from sailrun.replica.marks import KINDS, Mark, Standing, marks, pack, standing, unpack
 from sailrun.replica.messages import (
     Fetch,
     Fetched,
@@ -136,6 +136,7 @@
         self._looking: dict[str, _Looking] = {}
         self.level_us = -1  # when this copy was last known to hold what the owner held; -1: never
         self.lacks = 0
+        self._behind_owner = False  # as it last said: its copy is asked for what differs
         self._where_us = now_us
         self._stale = False
 
@@ -331,8 +332,6 @@
             self.sync.note("marks-stale" if stale else "marks-fresh", marks=len(self._used))
         return posts
 
-    _behind_owner = False
-
     def behind_s(self, now_us: int) -> float | None:
         """How old the newest thing may be that this copy does not hold; None: not known."""
         return (now_us - self.level_us) / SECOND if self.level_us >= 0 else None
@@ -476,6 +475,3 @@
         return msgspec.msgpack.decode(content, type=Mark)
     except msgspec.MsgspecError:
         return None
-
-
-__all__ = ["BELIEF", "DRAIN", "LIST", "MARKS", "OUT", "Answer", "Replica"]
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -400,7 +400,8 @@
     fleet.run(9.0)
     assert put_mark(fleet, "n4", "s-00000001", True).state == "unknown"
     fleet.mark_here("n4", "s-00000002", True)
-    assert part(fleet, "n4").behind_s(fleet.clock_us(fleet.nodes["n4"])) or 0 > 3.0
+    behind_s = part(fleet, "n4").behind_s(fleet.clock_us(fleet.nodes["n4"]))
+    assert behind_s is not None and behind_s > 3.0
     assert put_mark(fleet, "n2", "s-00000003", True).state == "done"
     fleet.heal(cut)
     until(fleet, lambda: alike(fleet, fleet.names))
