--- a/sailrun/cli.py
+++ b/sailrun/cli.py
@@ -174,7 +174,9 @@
     if len(sys.argv) > 1:
         from sailrun.control.cli import app as fleet_app
         from sailrun.lab.cli import app as lab_app
+        from sailrun.lasting.cli import app as lasting_app
 
         app.add_typer(fleet_app, name="fleet")
         app.add_typer(lab_app, name="lab")
+        app.add_typer(lasting_app, name="lasting")
     app(prog_name="sailrun")
--- /dev/null
+++ b/sailrun/lab/faults/folders.py
@@ -0,0 +1,89 @@
+"""Judges what nodes made of their folders, from what was recorded.
+
+Rows, besides those of `history.py` and `copies.py`:
+
+- `folder` what: `found` (with sound: new, sound, doubtful), `trusted` (the voter goes by it), `old` (the
+  others knew a newer one);
+- `founded` what: too few voters remembered, and one of them began anew;
+- `walked` walk: the node has done its part in a walk;
+- `fault` with what `restore` and position: a folder that had come up to there was put in the place of
+  another.
+- `promised` position: the voter promised something that its folder holds up to there.
+"""
+
+from __future__ import annotations
+
+from sailrun.lab.checks import Check
+from sailrun.lab.faults.history import Counted, Row, fault
+from sailrun.lab.faults.nemesis import CALM_BEGIN_S
+
+# A voter that was late at the fleet's very beginning begins so long after the others.
+FIRST_S = 2.0
+
+
+class FolderJudge:
+    def __init__(self, rows: list[Row], begin_us: int, end_us: int) -> None:
+        self.rows = sorted((r for r in rows if r["at_us"] <= end_us), key=lambda row: row["at_us"])
+        self._begin_us = begin_us
+
+    def checks(self, walks: bool, older: bool) -> list[Check]:
+        """`walks` and `older`: whether nodes are drained one after another that day, and folders put back."""
+        checks: list[Check] = [self._nothing_begun_anew()]
+        if walks:
+            checks.append(self._drained_once())
+        if older:
+            checks.append(self._older_found())
+        return checks
+
+    def _fault(self, check: Check, row: Row, what: str) -> None:
+        fault(check, row["at_us"] - self._begin_us, f"{row['node']}: {what}")
+
+    def _nothing_begun_anew(self) -> Check:
+        """Nobody begins as if all were forgotten: every voter has a folder. Occasions: starts after the
+        first.
+        """
+        check = Counted("nothing-begun-anew", occasions=0)
+        for row in self.rows:
+            if row["at_us"] < self._begin_us + int((CALM_BEGIN_S + FIRST_S) * 1e6):
+                continue
+            check.occasions += row["kind"] == "started"
+            if row["kind"] == "founded":
+                self._fault(check, row, f"{row['what']} begun anew")
+        return check
+
+    def _older_found(self) -> Check:
+        """A folder older than what its voter had promised is not gone by. Occasions: such folders put
+        back.
+        """
+        check = Counted("older-folders-found", occasions=0)
+        restored: set[str] = set()
+        promised: dict[str, int] = {}
+        for row in self.rows:
+            node = row["node"]
+            if row["kind"] == "promised":
+                promised[node] = max(row["position"], promised.get(node, 0))
+            elif row["kind"] == "fault" and row["what"] == "restore":
+                restored.discard(node)
+                if promised.get(node, 0) > row["position"]:
+                    restored.add(node)
+            elif row["kind"] == "folder" and node in restored:
+                if row["what"] == "trusted":
+                    self._fault(check, row, "votes by an older folder")
+                if row["what"] in ("trusted", "old", "learned") or row.get("sound") == "doubtful":
+                    check.occasions += 1
+                    restored.discard(node)
+        return check
+
+    def _drained_once(self) -> Check:
+        """No node does its part in a walk twice, whoever was killed meanwhile. Occasions: parts done."""
+        check = Counted("drained-once", occasions=0)
+        done: set[tuple[str, str]] = set()
+        for row in self.rows:
+            if row["kind"] != "walked":
+                continue
+            check.occasions += 1
+            key = (row["node"], str(row["walk"]))
+            if key in done:
+                self._fault(check, row, f"drained twice for {row['walk']}")
+            done.add(key)
+        return check
--- a/sailrun/lab/faults/nemesis.py
+++ b/sailrun/lab/faults/nemesis.py
@@ -42,6 +42,11 @@
     def mark_here(self, name: str, subject: str, on: bool) -> None: ...
     def look(self, name: str, subject: str) -> None: ...
     def spoil(self, name: str) -> None: ...
+    def power_cut(self, names: list[str]) -> None: ...
+    def stall(self, name: str, for_us: int) -> None: ...
+    def fill(self, names: list[str], for_us: int) -> None: ...
+    def back_up(self, name: str) -> None: ...
+    def restore(self, name: str) -> None: ...
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +60,8 @@
     permits: bool = False
     copies: bool = False
     apart: bool = False  # staff say two things on two sides of a cut
+    lasting: bool = False  # each node has a folder of its own
+    older: bool = False  # folders of before are put back
 
 
 class Nemesis:
@@ -381,6 +388,92 @@
     nemesis.at(CALM_BEGIN_S + 20.0, half_twice)
 
 
+class _Folders:
+    """What befalls nodes that have folders."""
+
+    def __init__(self, nemesis: Nemesis) -> None:
+        self.nemesis, self.fleet, self.luck = nemesis, nemesis.fleet, nemesis.luck
+
+    def down(self, names: list[str], late_s: float = 0.0) -> None:
+        """Their processes are killed, or their machines lose their power; all are back within a second or
+        so.
+        """
+        if self.luck.random() < 0.5:
+            self.fleet.power_cut(names)
+        else:
+            for name in names:
+                self.fleet.kill(name)
+        for name in names:
+            clock_s = self.luck.choice((0.0, 0.0, 0.0, -31_536_000.0))
+            wait_s = 0.3 + self.luck.uniform(0.0, 0.7) + self.luck.choice((0.0, 0.0, late_s))
+            self.nemesis.later(wait_s, self.fleet.start, name, clock_s)
+
+    def some(self) -> None:
+        """One, a bare majority of the voters, or with luck the owner's voters one after another."""
+        voters = list(self.fleet.voters)
+        self.luck.shuffle(voters)
+        how = self.luck.random()
+        if how < 0.4:
+            self.down([self.nemesis.victim()])
+        elif how < 0.8:
+            self.down(voters[: len(voters) // 2 + 1])
+        else:
+            for n, name in enumerate(voters):
+                self.nemesis.later(1.2 * n, self.down, [name])
+
+    def everybody(self, late_s: float = 2.0) -> None:
+        self.down(list(self.fleet.names), late_s)
+
+    def slow_disk(self) -> None:
+        """A voter's disk does nothing for 5 s, and the owner of something is killed meanwhile."""
+        self.fleet.stall(self.luck.choice(self.fleet.voters), 5 * SECOND)
+        self.nemesis.later(0.2, self.nemesis.kill_one)
+
+    def full(self) -> None:
+        self.fleet.fill(list(self.fleet.voters), 3 * SECOND)
+
+    def from_a_backup(self) -> None:
+        """A voter comes back with the folder that it had some seconds before."""
+        name, ago_s = self.luck.choice(self.fleet.voters), self.luck.uniform(3.0, 6.0)
+        self.fleet.back_up(name)
+        self.nemesis.later(ago_s, self.fleet.kill, name)
+        self.nemesis.later(ago_s + 0.8, self.fleet.restore, name)
+        self.nemesis.later(ago_s + 0.9, self.fleet.start, name)
+
+
+def _lasting(nemesis: Nemesis) -> None:
+    nemesis.weather(0.02, 1, 10)
+    _Staff(nemesis)
+    folders = _Folders(nemesis)
+    nemesis.every(5.0, 8.0, folders.some)
+    nemesis.every(9.0, 14.0, lambda: nemesis.luck.choice((folders.slow_disk, folders.full))())
+    for at_s in (7.0, 19.0, 31.0):
+        nemesis.at(at_s, folders.from_a_backup)
+    # An owner is struck, and comes back late enough for its folder to be older than what has been done since.
+    nemesis.surely(15.0, lambda name: nemesis.kill_for(name, 2.0 * nemesis.lease_s))
+
+
+def _lasting_all(nemesis: Nemesis) -> None:
+    nemesis.weather(0.02, 1, 10)
+    _Staff(nemesis, 0.1, 0.5)
+    folders = _Folders(nemesis)
+    nemesis.every(7.0, 10.0, folders.everybody)
+    nemesis.surely(12.0, lambda name: nemesis.kill_for(name, 2.0 * nemesis.lease_s))
+
+
+def _lasting_walk(nemesis: Nemesis) -> None:
+    """The whole fleet is killed amid a rolling drain, and staff say the same walk again."""
+    luck, fleet = nemesis.luck, nemesis.fleet
+    nemesis.weather(0.02, 1, 10)
+    folders = _Folders(nemesis)
+    walkers = luck.sample(fleet.names, min(len(fleet.names), 4))
+    begins = luck.choice(fleet.names)
+    nemesis.at(CALM_BEGIN_S + 1.0, lambda: fleet.walk(begins, walkers, SECOND))
+    nemesis.at(CALM_BEGIN_S + luck.uniform(2.0, 6.0), lambda: folders.everybody(0.0))
+    nemesis.at(CALM_BEGIN_S + luck.uniform(12.0, 20.0), lambda: folders.everybody(0.0))
+    nemesis.surely(CALM_BEGIN_S + 24.0, lambda name: nemesis.kill_for(name, 2.0 * nemesis.lease_s))
+
+
 PLANS = {
     plan.name: plan
     for plan in (
@@ -414,5 +507,30 @@
             apart=True,
         ),
         Plan("copies-roll", "Rolling restarts, half the fleet twice.", _copies_roll, 60.0, copies=True),
+        Plan(
+            "lasting",
+            "Nodes with folders: killed, without power, disks slow and full, folders of before.",
+            _lasting,
+            60.0,
+            copies=True,
+            lasting=True,
+            older=True,
+        ),
+        Plan(
+            "lasting-all",
+            "The whole fleet at once is killed or without power, again and again.",
+            _lasting_all,
+            60.0,
+            copies=True,
+            lasting=True,
+        ),
+        Plan(
+            "lasting-walk",
+            "The whole fleet is killed amid a rolling drain.",
+            _lasting_walk,
+            70.0,
+            permits=True,
+            lasting=True,
+        ),
     )
 }
--- a/sailrun/lab/faults/play.py
+++ b/sailrun/lab/faults/play.py
@@ -8,9 +8,11 @@
 
 from sailrun.lab.checks import Check
 from sailrun.lab.faults.copies import CopyJudge
+from sailrun.lab.faults.folders import FolderJudge
 from sailrun.lab.faults.history import Judge, Row
 from sailrun.lab.faults.nemesis import PLANS, Nemesis, Plan
 from sailrun.lab.figures import quantile
+from sailrun.lasting.terms import LastingTerms
 from sailrun.members.terms import MembersTerms
 from sailrun.owners.agent import AgentTerms
 from sailrun.owners.terms import OwnersTerms, PermitsTerms, ReaderTerms
@@ -31,10 +33,15 @@
     "lives",
     "level",
     "mend",
+    "sync",
+    "generation",
+    "folder",
 )
 LEASE_S, ORDER_S, PERMIT_LEASE_S = 2.0, 1.0, 6.0
 DRAINS, OUT = 1, 2
 KEEP_S, ABSENT_S = 3.0, 5.0
+# So small that a day has many generations.
+LASTING = LastingTerms(folder="folder", generation_mb=0.02, idle_sync_s=1.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +95,7 @@
         day.seed,
         day.off,
         1.0 if plan.copies else 0.0,
+        LASTING if plan.lasting else None,
     )
     fleet.begin()
     Nemesis(fleet, plan, day.seed, seconds, LEASE_S)
@@ -156,6 +164,8 @@
     if plan.copies:
         checks += CopyJudge(rows, begin_us, end_us).checks(plan.apart)
         figures |= _of_copies(rows)
+    if plan.lasting:
+        checks += FolderJudge(rows, begin_us, end_us).checks(plan.permits, plan.older)
     return Played(rows, checks, figures, seconds)
 
 
--- a/sailrun/lab/faults/virtual.py
+++ b/sailrun/lab/faults/virtual.py
@@ -5,18 +5,25 @@
 
 from __future__ import annotations
 
+import errno
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 from sailrun.lab.faults.copies import shown
+from sailrun.lab.faults.disk import SimFiles
 from sailrun.lab.faults.history import Row
 from sailrun.lab.scheduler import BEGIN_US, Scheduler
+from sailrun.lasting.folder import Folder, Sound, read_folder
+from sailrun.lasting.ledger import Done, Ledger, Work
+from sailrun.lasting.scribe import Scribe
+from sailrun.lasting.terms import LastingTerms
 from sailrun.members.messages import Record, State
 from sailrun.owners.agent import READER, Agent, AgentTerms, Out
 from sailrun.owners.envelope import Envelope, pack
 from sailrun.owners.founding import founding_term
+from sailrun.owners.lasting import Lasting
 from sailrun.owners.permits import Use
 from sailrun.owners.reader import Reading
 from sailrun.replica.messages import Op
@@ -28,6 +35,8 @@
 QUEUED = 2_000
 # One in so many messages is packed, to know what they weigh.
 WEIGHED = 8
+# What a sync takes, most of the time.
+SYNC_US = (500, 8_000)
 # Staff wait so long for an answer about a mark.
 STAFF_US = 4 * SECOND
 
@@ -50,6 +59,12 @@
     held_back_us: int = 0  # what it sends until then is held back as well
     waking: int = 0  # the number of its next turn; turns of an older one are void
     wakes_us: int = 0  # when that is, in shared time
+    files: SimFiles = field(default_factory=SimFiles)
+    scribe: Scribe | None = None
+    ledger: Ledger | None = None
+    stalled_us: int = 0  # its disk does nothing until then
+    # A folder of before, and whether it comes back with its inodes.
+    backup: tuple[SimFiles, bool] | None = None
 
 
 class VirtualFleet:
@@ -64,10 +79,12 @@
         seed: int,
         off: frozenset[str] = frozenset(),
         copies_s: float = 0.0,
+        lasting: LastingTerms | None = None,
     ) -> None:
         """`terms` are made for a node's index, the voters' names and the addresses to join by. Copies are
-        looked at every `copies_s`, if they are.
+        looked at every `copies_s`, if they are. With `lasting`, each node has a folder.
         """
+        self._lasting = lasting
         self.time = Scheduler()
         self._luck = random.Random(f"network/{seed}")
         self._seed, self._off, self._terms = seed, off, terms
@@ -152,6 +169,8 @@
             self._off,
             record,
         )
+        if self._lasting is not None:
+            self._open_folder(node, self._lasting, wall_s, luck)
         self._give_work(node)
         self.row("started", name, life=me.life, clock_s=clock_s)
         self._wake(node, 0)
@@ -170,6 +189,8 @@
         if node.agent is None:
             return
         self.row("died", name)
+        node.files.killed()
+        node.scribe = node.ledger = None
         node.stop += 1
         node.agent, node.inbox, node.stopped = None, [], False
         node.waking += 1
@@ -214,6 +235,111 @@
             self._hear(node, address, envelope)
         self._wake(node, 0)
 
+    # ------------------------------------------------------------------ folders
+
+    def _open_folder(
+        self, node: VirtualNode, terms: LastingTerms, wall_s: float, luck: random.Random
+    ) -> None:
+        agent = node.agent
+        assert agent is not None
+        found = read_folder(node.files)
+        slow_us = int(agent.terms.owners.lease_s * SECOND) // 2
+        ledger = node.ledger = Ledger(terms, slow_us, found.position, self._off)
+        folder = Folder(node.files, found, self._off)
+        node.scribe = Scribe(folder, node.name, "lab")
+        identity = found.identity.hex()
+        if found.sound is Sound.SOUND:
+            folder.go_on()
+        else:
+            identity = f"{luck.getrandbits(128):032x}"
+            ledger.renew(bytes.fromhex(identity))
+        self.row("folder", node.name, what="found", sound=found.sound.value, why=found.why, torn=found.torn)
+        sound = found.sound is Sound.SOUND
+
+        def another() -> str:
+            return f"{luck.getrandbits(128):032x}"
+
+        lasting = Lasting(ledger, identity, found.memory, sound, found.position, wall_s, another)
+        agent.take_up(self.clock_us(node), lasting)
+
+    def _to_disk(self, node: VirtualNode) -> None:
+        """Has a node's disk do what there is to do, some time from now."""
+        ledger = node.ledger
+        if ledger is None or node.stopped:
+            return
+        work = ledger.turn(self.clock_us(node))
+        if ledger.notes:
+            for what, facts in ledger.notes:
+                self.row("folder", node.name, what=what, facts=str(facts))
+            ledger.notes.clear()
+        if work is not None:
+            wait_us = max(int(self._luck.uniform(*SYNC_US)), node.stalled_us - self.time.now_us)
+            self.time.after(wait_us // 2, self._written, node, node.scribe, work, wait_us - wait_us // 2)
+
+    def _written(self, node: VirtualNode, scribe: Scribe | None, work: Work, told_us: int) -> None:
+        """The disk has done it, or the process that asked for it is gone; a moment later, if it is not
+        stopped, the process knows.
+        """
+        if scribe is None or node.scribe is not scribe:
+            return
+        done = scribe.do(work)
+        while scribe.idle():
+            pass
+        self.time.after(told_us, self._wrote, node, scribe, done)
+
+    def _wrote(self, node: VirtualNode, scribe: Scribe, done: Done) -> None:
+        if node.scribe is not scribe or node.agent is None:
+            return
+        if node.stopped:
+            self.time.after(SECOND // 10, self._wrote, node, scribe, done)
+            return
+        now_us = self.clock_us(node)
+        self._send(node, node.agent.wrote(now_us, done))
+        self._soon(node)
+
+    def power_cut(self, names: list[str]) -> None:
+        """Machines that lose their power: their processes, and what was not synced."""
+        self.told("power-cut", names=",".join(names))
+        for name in names:
+            self.kill(name)
+            self.nodes[name].files.power_cut(self._luck)
+
+    def stall(self, name: str, for_us: int) -> None:
+        self.told("stall", node=name, for_us=for_us)
+        self.nodes[name].stalled_us = self.time.now_us + for_us
+
+    def fill(self, names: list[str], for_us: int) -> None:
+        """Disks that are full: nothing is written to them."""
+        self.told("full", names=",".join(names), for_us=for_us)
+
+        def full(what: str, name: str) -> None:
+            if what in ("write", "create"):
+                raise OSError(errno.ENOSPC, "No space left on device")
+
+        for name in names:
+            self.nodes[name].files.fault = full
+            self.time.after(for_us, self._empty, name)
+
+    def _empty(self, name: str) -> None:
+        self.nodes[name].files.fault = lambda what, name: None
+
+    def back_up(self, name: str) -> None:
+        self.told("back-up", node=name)
+        node = self.nodes[name]
+        node.backup = (node.files.copy(), self._luck.random() < 0.5)
+
+    def restore(self, name: str) -> None:
+        """Puts the folder of then in the place of what there is; the process is not running."""
+        node = self.nodes[name]
+        if node.agent is not None or node.backup is None:
+            return
+        files, with_inodes = node.backup
+        self.row("fault", name, what="restore", inodes=with_inodes, position=read_folder(files).position)
+        if with_inodes:
+            node.files.roll_back(files)
+        else:
+            node.files = files.copy()
+
     # ------------------------------------------------------------------ turns
 
     def _wake(self, node: VirtualNode, wait_us: int) -> None:
@@ -233,7 +359,10 @@
         if agent.walks.draining:
             agent.walks.standing(now_us, 0)
         if not node.stopped:
-            self._wake(node, max(1_000, agent.due_us(now_us) - now_us))
+            due_us = agent.due_us(now_us)
+            if node.ledger is not None:
+                due_us = min(due_us, node.ledger.due_us(now_us) or due_us)
+            self._wake(node, max(1_000, due_us - now_us))
 
     def _read(self, node: VirtualNode, agent: Agent, reading: Reading, now_us: int) -> list[Out]:
         task = READER + node.zone
@@ -266,6 +395,7 @@
         agent = node.agent
         assert agent is not None
         agent.notes.clear()
+        self._to_disk(node)
         now_us = self.clock_us(node)
         outs = [out for out in outs if out.guard is None or agent.still(out.guard, now_us)]
         if node.stop_in_send and any(out.guard for out in outs):
--- /dev/null
+++ b/sailrun/lasting/beliefs.py
@@ -0,0 +1,121 @@
+"""What a node had learned of form servers, written down for its next process, and aged when it is read. Pure.
+
+It counts less the longer ago it was: by half for every `half_life_s`. What keeps a form server out ends
+sooner, what limits it widens, and after some half-lives nothing is left. The age is by the wall clock: where
+that was set back since, the age is not known, and nothing is believed.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import replace
+
+import msgspec
+
+from sailrun import interface as i
+
+SECOND = 1_000_000
+# Below this nothing is believed any more.
+LEAST = 1 / 16
+LONGEST = 1024 * 1024
+
+
+class Told(msgspec.Struct, array_like=True, frozen=True):
+    """`backends`: by name, in the order of `interface.LEARNED`; `now_us` is the clock of all its times."""
+
+    now_us: int
+    backends: dict[str, list[float | int | bool]]
+    pace: list[float]
+    class_load: dict[str, tuple[float, int]]
+
+
+def pack(now_us: int, learned: i.Recalled, names: Mapping[int, str]) -> bytes:
+    """`names` by number, of the form servers that are listed. Of those that nothing is wrong with, nothing is
+    kept.
+    """
+    backends = {
+        names[one.id]: [getattr(one, n) for n in i.LEARNED]
+        for one in learned.backends
+        if one.id in names and _worth(now_us, one)
+    }
+    told = Told(now_us, backends, list(learned.pace), dict(learned.class_load))
+    return msgspec.msgpack.encode(told)
+
+
+def _worth(now_us: int, one: i.Learned) -> bool:
+    return (
+        one.ejected_until > now_us or bool(one.ejections or one.strikes) or one.trial or one.limit < math.inf
+    )
+
+
+def weight_of(age_s: float, half_life_s: float) -> float:
+    """What is left of something learned that long ago, 0 to 1."""
+    if age_s < 0:
+        return 0.0
+    left = math.exp2(-age_s / half_life_s)
+    return left if left >= LEAST else 0.0
+
+
+def unpack(
+    content: bytes, now_us: int, half_life_s: float, numbers: Mapping[str, tuple[int, int]]
+) -> i.Recalled | None:
+    """What is still to be believed at `now_us`, of the form servers in `numbers`: by name, number and since
+    when (us) it runs. None: nothing, or the content is none of this version's.
+    """
+    try:
+        told = msgspec.msgpack.decode(content, type=Told)
+        weight = weight_of((now_us - told.now_us) / SECOND, half_life_s)
+        if not weight or len(told.pace) != len(i.PACE) or not all(map(math.isfinite, told.pace)):
+            return None
+        backends = tuple(
+            _aged(one, told.now_us, now_us, weight)
+            for name, values in told.backends.items()
+            if name in numbers
+            and (one := _learned(values)) is not None
+            and (one.id, one.started_us) == numbers[name]
+        )
+    except (msgspec.MsgspecError, OverflowError):
+        return None
+    pace = dict(zip(i.PACE, told.pace, strict=True))
+    pace["sends"] = math.floor(pace["sends"] * weight)
+    pace["succeeding"] = 1.0 - (1.0 - pace["succeeding"]) * weight
+    load = {name: (mean, math.floor(notes * weight)) for name, (mean, notes) in told.class_load.items()}
+    load = {name: pair for name, pair in load.items() if pair[1] > 0 and math.isfinite(pair[0])}
+    return i.Recalled(backends, tuple(pace[name] for name in i.PACE), load)
+
+
+def _learned(values: list[float | int | bool]) -> i.Learned | None:
+    if len(values) != len(i.LEARNED):
+        return None
+    try:
+        return msgspec.convert(dict(zip(i.LEARNED, values, strict=True)), i.Learned)
+    except msgspec.ValidationError:
+        return None
+
+
+def _aged(one: i.Learned, told_us: int, now_us: int, weight: float) -> i.Learned:
+    left_us = int(max(0, one.ejected_until - told_us) * weight)
+    return replace(
+        one,
+        ejected_until=min(one.ejected_until, now_us + left_us),
+        ejections=math.ceil(one.ejections * weight),
+        strikes=math.floor(one.strikes * weight),
+        errors=math.floor(one.errors * weight),
+        limit=one.limit / weight,
+        delay_ms=one.delay_ms * weight,
+    )
+
+
+def out_for(content: bytes, now_us: int, half_life_s: float) -> dict[str, int]:
+    """By name, for how much longer (us) a node that starts now keeps away from which form servers."""
+    try:
+        told = msgspec.msgpack.decode(content, type=Told)
+    except msgspec.MsgspecError:
+        return {}
+    weight = weight_of((now_us - told.now_us) / SECOND, half_life_s)
+    if not weight:
+        return {}
+    pairs = ((name, _learned(values)) for name, values in told.backends.items())
+    aged = {name: _aged(one, told.now_us, now_us, weight) for name, one in pairs if one is not None}
+    return {name: one.ejected_until - now_us for name, one in aged.items() if one.ejected_until > now_us}
--- /dev/null
+++ b/sailrun/lasting/cli.py
@@ -0,0 +1,180 @@
+"""`sailrun lasting`: a node's folder, without a node."""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated, Any
+
+import typer
+
+if TYPE_CHECKING:
+    from sailrun.lasting.folder import Found
+
+app = typer.Typer(help="Look at the folder in which a node keeps what it has to know after a restart.")
+
+Folder = Annotated[Path, typer.Argument(help="The folder that [lasting] names.")]
+Json = Annotated[bool, typer.Option("--json", help="As JSON.")]
+HalfLife = Annotated[
+    float, typer.Option("--half-life", min=1.0, help="Seconds; as `lasting.half_life_s` has it.")
+]
+
+
+def _complain(folder: Path, error: object) -> typer.Exit:
+    print(f"sailrun: {folder}: {error}", file=sys.stderr)
+    return typer.Exit(2)
+
+
+def _read(folder: Path) -> Found:
+    from sailrun.lasting.files import OsFiles
+    from sailrun.lasting.folder import read_folder
+    from sailrun.lasting.frames import NewerSchema
+
+    try:
+        return read_folder(OsFiles(folder))
+    except NewerSchema as error:
+        raise _complain(folder, error) from None
+    except OSError as error:
+        raise _complain(folder, error.strerror or error) from None
+
+
+def _facts(found: Found) -> dict[str, Any]:
+    memory = found.memory
+    return {
+        "sound": found.sound.value,
+        "why": found.why,
+        "node": found.node,
+        "fleet": found.fleet,
+        "identity": found.identity.hex(),
+        "life": memory.life,
+        "ended_in_good_order": memory.clean,
+        "position": found.position,
+        "generation": found.generation,
+        "entries": found.entries,
+        "torn_bytes": found.torn,
+        "records": len(memory.records),
+        "epoch": memory.epoch,
+        "whole_copy": memory.whole,
+    }
+
+
+def _believed(found: Found, half_life_s: float, now_s: float) -> dict[str, Any]:
+    """What a node would go by if it started now."""
+    from sailrun.lasting.beliefs import out_for, weight_of
+    from sailrun.replica.marks import KINDS, standing
+
+    memory = found.memory
+    marks = [standing(r) for r in memory.records.values() if r.kind in KINDS]
+    age_s = now_s - memory.learned.wall_s if memory.learned is not None else 0.0
+    weight = weight_of(age_s, half_life_s) if memory.learned is not None else 0.0
+    out = out_for(memory.learned.content, int(now_s * 1e6), half_life_s) if memory.learned is not None else {}
+    return {
+        "marks": [
+            {
+                "kind": s.kind,
+                "subject": s.subject,
+                "on": s.on,
+                "words": [{"id": m.id, "who": m.who, "why": m.why, "gone": gone} for m, gone in s.words],
+            }
+            for s in sorted(marks, key=lambda s: (s.kind, s.subject))
+        ],
+        "out_by_hand_here": sorted(memory.hand.out) if memory.hand is not None else [],
+        "terms": dict(sorted(memory.highest().items())),
+        "promised": memory.keeps.promised if memory.keeps is not None else 0,
+        "votes_remembered": found.sound.value == "sound",
+        "learned_age_s": round(age_s, 1) if memory.learned is not None else None,
+        "learned_weight": round(weight, 3),
+        "kept_away_from_s": {name: round(left / 1e6, 1) for name, left in sorted(out.items())},
+        "walks": list(memory.walks),
+        "walks_to_go_on_with": [p.walk for p in memory.plans.values()],
+    }
+
+
+def _print(facts: dict[str, Any]) -> None:
+    for name, value in facts.items():
+        if isinstance(value, list) and value and isinstance(value[0], dict):
+            print(f"{name}:")
+            for row in value:
+                words = "; ".join(f"{w['who']}: {w['why'] or '-'}" for w in row["words"] if not w["gone"])
+                print(f"  {row['kind']} {row['subject']} {'out' if row['on'] else 'back'} {words}".rstrip())
+            continue
+        if isinstance(value, dict):
+            value = ", ".join(f"{k or 'least'} {v}" for k, v in value.items())
+        elif isinstance(value, list):
+            value = ", ".join(map(str, value))
+        elif isinstance(value, bool):
+            value = "yes" if value else "no"
+        print(f"{name}: {value if value not in ('', None) else '-'}")
+
+
+@app.command()
+def show(folder: Folder, half_life: HalfLife = 120.0, as_json: Json = False) -> None:
+    """What a node would go by if it started now."""
+    found = _read(folder)
+    facts = _facts(found) | _believed(found, half_life, time.time())
+    if as_json:
+        print(json.dumps(facts, indent=1))
+    else:
+        _print(facts)
+
+
+@app.command()
+def check(folder: Folder, as_json: Json = False) -> None:
+    """Whether a folder is sound. Exit 0: it is, or is empty; 1: something is missing or damaged."""
+    found = _read(folder)
+    if as_json:
+        print(json.dumps(_facts(found), indent=1))
+    elif found.sound.value == "new":
+        print(f"{folder}: nothing was kept there yet")
+    else:
+        torn = f", {found.torn} bytes torn at the end" if found.torn else ""
+        why = f": {found.why}" if found.why else ""
+        print(f"{folder}: {found.sound.value}{why}; {found.entries} entries up to {found.position}{torn}")
+    raise typer.Exit(1 if found.sound.value == "doubtful" else 0)
+
+
+@app.command()
+def export(folder: Folder) -> None:
+    """Everything that a folder comes to, one JSON object a line."""
+    import msgspec
+
+    from sailrun.lasting.entries import Learned
+
+    found = _read(folder)
+    for entry in found.memory.entries():
+        told = msgspec.to_builtins(entry)
+        names = ("entry", *entry.__struct_fields__)
+        line = dict(zip(names, told, strict=True))
+        if isinstance(entry, Learned):
+            line["content"] = msgspec.msgpack.decode(entry.content)
+        print(json.dumps(line))
+
+
+@app.command()
+def forget(
+    folder: Folder,
+    yes: Annotated[bool, typer.Option("--yes", help="Do it: nothing of it can be had again.")] = False,
+) -> None:
+    """Empty a folder whose node is not running. That node's vote is then learned from the other voters."""
+    from sailrun.lasting.files import OsFiles
+
+    files = OsFiles(folder)
+    try:
+        ours = [n for n in files.names() if _ours(n)]
+        if not yes:
+            raise _complain(folder, f"{len(ours)} files would be removed; say --yes")
+        if not files.lock():
+            raise _complain(folder, "is in use by a running node")
+        for name in ours:
+            files.remove(name)
+        files.sync_folder()
+        files.unlock()
+    except OSError as error:
+        raise _complain(folder, error.strerror or error) from None
+    print(f"{folder}: {len(ours)} files removed")
+
+
+def _ours(name: str) -> bool:
+    return name.removeprefix("old-").startswith(("identity", "journal.", "snapshot."))
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -280,7 +280,8 @@
         if self._passed is not None:
             for name in sorted(self._passed.out_by_hand):
                 self._hand(name, True)
-            self._feed(self._passed.learned)
+            if self._passed.learned is not None:
+                self._feed(self._passed.learned)
             if self._passed.draining:
                 self._drain(True)
 
--- a/sailrun/node/passage.py
+++ b/sailrun/node/passage.py
@@ -20,7 +20,7 @@
     roster: RosterNews
     out_by_hand: frozenset[str]
     draining: bool
-    learned: Recalled
+    learned: Recalled | None  # None: nothing is known
 
 
 @dataclass(frozen=True, slots=True)
--- a/sailrun/operator.py
+++ b/sailrun/operator.py
@@ -10,13 +10,14 @@
 
 from sailrun.config import BadConfig
 from sailrun.connection import split_address
+from sailrun.lasting.terms import LastingTerms
 from sailrun.members.terms import MembersTerms
 from sailrun.owners.quorum import check_voters
 from sailrun.owners.terms import OwnersTerms, PermitsTerms, ReaderTerms
 from sailrun.rebalance.terms import RebalanceTerms
 from sailrun.replica.terms import ReplicaTerms
 
-Table = RebalanceTerms | MembersTerms | OwnersTerms | PermitsTerms | ReaderTerms | ReplicaTerms
+Table = RebalanceTerms | MembersTerms | OwnersTerms | PermitsTerms | ReaderTerms | ReplicaTerms | LastingTerms
 
 
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -28,6 +29,7 @@
     permits: PermitsTerms = PermitsTerms()
     reader: ReaderTerms = ReaderTerms()
     replica: ReplicaTerms = ReplicaTerms()
+    lasting: LastingTerms = LastingTerms()
 
     def tables(self) -> Iterator[tuple[str, Table]]:
         """Every subsystem's name and terms."""
--- a/sailrun/owners/envelope.py
+++ b/sailrun/owners/envelope.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from sailrun.lasting.messages import LastingBody
 from sailrun.members.messages import MemberBody, Record
 from sailrun.owners.messages import Claim, OwnerBody
 from sailrun.replica.messages import ReplicaBody
@@ -18,7 +19,7 @@
 # What rides along, so that a datagram stays below its limit whatever the names are.
 MOST_NEWS, MOST_CLAIMS = 4, 3
 
-Body = MemberBody | OwnerBody | ReplicaBody
+Body = MemberBody | OwnerBody | ReplicaBody | LastingBody
 
 
 class Envelope(msgspec.Struct, array_like=True, frozen=True):
--- /dev/null
+++ b/sailrun/owners/lasting.py
@@ -0,0 +1,99 @@
+"""A member's memory beyond its process: what of it is written down, and what is taken up again at a start.
+
+Pure. The ledger knows what is on the disk; the standing, whether the folder is the newest there is.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from sailrun.lasting import entries as e
+from sailrun.lasting.ledger import Ledger
+from sailrun.owners.voter import Slot, Voter
+from sailrun.replica.diary import Diary
+from sailrun.replica.records import Key, Record
+from sailrun.replica.replica import Replica
+
+
+@dataclass(slots=True)
+class Lasting:
+    """A folder that was opened: what it held, and what is written to it from now on. `sound`: as far as the
+    folder itself can tell, it holds all that was ever promised from it.
+    """
+
+    ledger: Ledger
+    identity: str
+    memory: e.Memory
+    sound: bool
+    loaded: int  # the position that was found
+    wall_s: float
+    new_identity: Callable[[], str]
+
+
+class Book(Diary):
+    """Where the parts of a member write to: nothing, until there is a ledger."""
+
+    def __init__(self) -> None:
+        self.ledger: Ledger | None = None
+
+    def _add(self, entry: e.Entry) -> int:
+        return self.ledger.add(entry) if self.ledger is not None else 0
+
+    def record(self, record: Record) -> None:
+        self._add(e.Held(record))
+
+    def dropped(self, key: Key) -> None:
+        self._add(e.Dropped(key))
+
+    def copy(self, epoch: int, whole: bool, cleared: bool = False) -> None:
+        self._add(e.Copy(epoch, whole, cleared))
+
+    def keeps(self, life: int, promised: int, lives: dict[str, int], remembers: bool) -> None:
+        self._add(e.Keeps(life, promised, lives, remembers))
+
+    def slot(self, task: str, slot: Slot) -> int:
+        return self._add(slot_entry(task, slot))
+
+    def floor(self, task: str, term: int) -> int:
+        return self._add(e.Floor(task, term))
+
+    def votes(self, remembers: bool) -> int:
+        return self._add(e.Votes(remembers))
+
+    def noted(self, noted: e.Noted) -> None:
+        self._add(noted)
+
+    def begun(self, life: int, wall_s: float) -> int:
+        return self._add(e.Begun(life, wall_s))
+
+    def walked(self, walk: str) -> int:
+        return self._add(e.Walked(walk))
+
+    def planned(self, walk: str, for_us: int, names: list[str]) -> None:
+        self._add(e.Planned(walk, for_us, names))
+
+
+def slot_entry(task: str, slot: Slot) -> e.Slot:
+    return e.Slot(task, slot.term, slot.holder, slot.life, slot.highest, slot.released)
+
+
+def known_slots(memory: e.Memory) -> dict[str, Slot]:
+    """A voter's grants, as its memory has them."""
+    return {
+        task: Slot(s.term, s.holder, s.life, 0, s.released, max(s.highest, s.term))
+        for task, s in memory.slots.items()
+    }
+
+
+def voter_entries(voter: Voter) -> Iterator[e.Entry]:
+    yield e.Votes(voter.remembers or voter.may_remember)
+    yield from (slot_entry(task, slot) for task, slot in voter.slots().items())
+    yield from (e.Floor(task, term) for task, term in voter.floors().items())
+
+
+def replica_entries(replica: Replica) -> Iterator[e.Entry]:
+    yield from (e.Held(r) for r in replica.store.sound() if not r.soft)
+    yield e.Copy(replica.sync.epoch, replica.sync.whole)
+    if replica.keeper is not None:
+        yield e.Keeps(*replica.keeper.state())
--- a/sailrun/owners/messages.py
+++ b/sailrun/owners/messages.py
@@ -32,7 +32,9 @@
 
 
 class Deny(msgspec.Struct, array_like=True, frozen=True, tag="deny"):
-    """`why`: `held`, `term` (too low), `abstains`, `stage`. `left_us`: when to ask again."""
+    """`why`: `held`, `term` (too low), `abstains`, `stage`, `disk` (too slow, or failed). `left_us`: when to
+    ask again.
+    """
 
     task: str
     term: int  # the highest the voter knows
@@ -66,6 +68,7 @@
     number: int
     remembers: bool  # whether the sender has been a voter without a gap
     terms: dict[str, int]
+    may_remember: bool = False  # its folder is being compared: it will know in a moment
 
 
 class Question(msgspec.Struct, array_like=True, frozen=True, tag="question"):
--- a/sailrun/owners/service.py
+++ b/sailrun/owners/service.py
@@ -13,14 +13,18 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
+import anyio
+
 from sailrun.config import NodeConfig, ServerRoster
 from sailrun.connection import split_address
+from sailrun.lasting.folder import Sound, new_identity
 from sailrun.members.messages import Record, State
 from sailrun.node.clock import log
 from sailrun.owners.agent import PACE, Agent, AgentTerms, Out
 from sailrun.owners.carrier import Carrier
 from sailrun.owners.clock import boot_us
 from sailrun.owners.founding import founding_term
+from sailrun.owners.lasting import Lasting
 from sailrun.owners.pace import PaceOffice, PaceShare
 from sailrun.owners.permits import DRAIN, OUT, Use
 from sailrun.owners.permits import TASK as PERMITS
@@ -29,6 +33,7 @@
 from sailrun.replica.service import CopiesPart
 
 if TYPE_CHECKING:
+    from sailrun.lasting.service import LastingPart
     from sailrun.node.core import Node
     from sailrun.operator import Operator
 
@@ -50,7 +55,9 @@
 class FleetPart:
     """One node's part in its fleet."""
 
-    def __init__(self, node: Node, config: NodeConfig, patient: bool) -> None:
+    def __init__(
+        self, node: Node, config: NodeConfig, patient: bool, lasting: LastingPart | None = None
+    ) -> None:
         """Raises OSError for an address that is not to be had, unless a predecessor is about to give it
         up.
         """
@@ -83,6 +90,12 @@
         if terms.pace:
             self.agent.answers[PACE] = self._lend
         self.copies = CopiesPart(node, self.agent.replica, self) if self.agent.replica is not None else None
+        self._lasting = lasting
+        if lasting is not None:
+            self.agent.aside = lasting.aside
+            lasting.on_done = lambda done: self.carrier.post(lambda now_us: self.agent.wrote(now_us, done))
+            if lasting.open:
+                self._take_up(lasting)
 
     def roster(self, source: ServerRoster, revision: int) -> SharedRoster | None:
         """What the core has for a roster; None: the roster itself."""
@@ -91,10 +104,35 @@
         self._shared = SharedRoster(self._node, source, revision, self.agent, self.carrier)
         return self._shared
 
+    def _take_up(self, lasting: LastingPart) -> None:
+        found = lasting.found
+        self.agent.take_up(
+            boot_us(),
+            Lasting(
+                lasting.ledger,
+                lasting.identity,
+                found.memory,
+                found.sound is Sound.SOUND,
+                found.position,
+                time.time(),
+                new_identity,
+            ),
+        )
+        found.memory.records = {}  # the copy has them now
+        if self.copies is not None:
+            self.copies.begins_with(lasting.drains)
+
     async def run(self) -> None:
         """Until cancelled, or given up. A fault in here leaves the node as it would be without a fleet."""
         try:
-            await self.carrier.run()
+            async with anyio.create_task_group() as group:
+                if self._lasting is not None:
+                    if not self._lasting.open and await self._lasting.wait():
+                        self._take_up(self._lasting)
+                    if self._lasting.open:
+                        group.start_soon(self._lasting.run, self._node)
+                await self.carrier.run()
+                group.cancel_scope.cancel()
         except Exception:
             log("fault", where="fleet", trace=traceback.format_exc())
             self._alone()
@@ -141,6 +179,8 @@
             outs += self._ask_pace(now_us)
         if self.copies is not None:
             self.copies.turn(now_us)
+        if self._lasting is not None:
+            self._lasting.turn()
         return outs
 
     def _standing(self, sessions: int) -> None:
--- a/sailrun/owners/voter.py
+++ b/sailrun/owners/voter.py
@@ -1,5 +1,5 @@
 """One voter: to whom it has granted which task, until when, and under which term. Its memory is the
-process's.
+process's, or outlasts it in a folder of its own (`take_up`).
 
 Safety rests on three promises, each kept by this clock alone:
 - while a lease that it granted may be in use, nobody else is granted the task;
@@ -42,6 +42,7 @@
     until_us: int
     released: bool = False
     highest: int = 0  # granted of the task at any time
+    position: int = 0  # the entry that says so, where this is written down
 
 
 class Voter:
@@ -68,6 +69,62 @@
         self._recalled: dict[str, Recalled] = {}  # the latest of each
         self.remembers = "abstain" in off
         self.founded = False
+        # With a folder: whether what it holds may turn out to be all that this voter ever granted; whether
+        # it may vote as one that has learned anew; whether its disk keeps up; and who writes down.
+        self.may_remember = False
+        self.registered: Callable[[], bool] = lambda: True
+        self.able: Callable[[], bool] = lambda: True
+        self.write_slot: Callable[[str, Slot], int] = lambda task, slot: 0
+        self.write_floor: Callable[[str, int], int] = lambda task, term: 0
+        self.write_votes: Callable[[bool], int] = lambda remembers: 0
+        self.on_founded: Callable[[], None] = lambda: None
+
+    # ------------------------------------------------------------------ what outlasts the process
+
+    def take_up(self, now_us: int, slots: dict[str, Slot], floors: dict[str, int]) -> None:
+        """What was granted before this process, as its folder tells. Every lease may have been renewed right
+        before the end: it may be in use for as long as a voter without a memory abstains. Nothing is granted
+        until `trust` says that this was all.
+        """
+        until_us = now_us + abstain_us(self._terms)
+        for task, slot in slots.items():
+            slot.until_us = until_us
+            self._slots[task] = slot
+        for task, term in floors.items():
+            self.heard_of(task, term)
+        self._least = max(self._least, floors.get("", 0))
+        self.may_remember = True
+
+    def trust(self) -> None:
+        """The folder is the newest there is: this voter remembers, and need not abstain."""
+        self.may_remember = False
+        self._remember(True)
+
+    def _remember(self, yes: bool) -> None:
+        self.remembers = yes
+        self.write_votes(yes)
+
+    def forget(self, now_us: int) -> None:
+        """The folder is older than what the fleet knows: as if there had been none. Terms only rise by it."""
+        for task in self._slots:
+            self.heard_of(task, self.highest(task))
+        self._slots.clear()
+        self.may_remember = False
+        self._remember(False)
+        self._began_us = self._recall_us = now_us
+        self._recalled.clear()
+
+    def slots(self) -> dict[str, Slot]:
+        return self._slots
+
+    def floors(self) -> dict[str, int]:
+        """Terms heard of; of no task: below which none is granted for any."""
+        return {**self._floor, "": self._least} if self._least else self._floor
+
+    def position(self, task: str) -> int:
+        """The entry that a grant of the task rests on."""
+        slot = self._slots.get(task)
+        return slot.position if slot is not None else 0
 
     # ------------------------------------------------------------------ leases
 
@@ -90,7 +147,8 @@
         if not self.voters.allows(ask.stage):
             return deny("stage", SECOND)
         if not self.remembers:
-            return deny("abstains", self._began_us + abstain_us(self._terms) - now_us)
+            wait_us = RECALL_US if self.may_remember else self._began_us + abstain_us(self._terms) - now_us
+            return deny("abstains", wait_us)
         slot = self._slots.get(task)
         until_us = now_us + int(self._terms.lease_s * SECOND)
         if slot is not None:
@@ -108,7 +166,10 @@
         gone_by = slot is not None and slot.term >= ask.term and (slot.holder, slot.life) == (candidate, life)
         if ask.term < highest + (0 if "terms" in self._off else 1) and (not ask.renews or gone_by):
             return deny("term")
-        self._slots[task] = Slot(ask.term, candidate, life, until_us, highest=max(highest, ask.term))
+        if not self.able():
+            return deny("disk", RECALL_US)  # it would be promised only once it is too late
+        slot = self._slots[task] = Slot(ask.term, candidate, life, until_us, highest=max(highest, ask.term))
+        slot.position = self.write_slot(task, slot)
         return Grant(task, ask.term, ask.number)
 
     def released(self, candidate: str, life: int, release: Release) -> None:
@@ -117,6 +178,7 @@
         slot = self._slots.get(release.task)
         if slot is not None and (slot.holder, slot.life, slot.term) == (candidate, life, release.term):
             slot.released = True
+            self.write_slot(release.task, slot)  # nobody waits for it: what is not known to be free is held
 
     def holders(self, now_us: int) -> dict[str, tuple[str, int, int]]:
         """By task: holder, term, and how long its lease has left here, in microseconds."""
@@ -130,11 +192,11 @@
 
     def due_us(self) -> int | None:
         """When `turn` wants to be called; None: not for itself."""
-        return None if self.remembers else self._recall_us
+        return None if self.remembers or self.may_remember else self._recall_us
 
     def turn(self, now_us: int) -> list[tuple[str, Recall]]:
         """Asks the others what this voter may have forgotten, until it may grant."""
-        if self.remembers or now_us < self._recall_us:
+        if self.remembers or self.may_remember or now_us < self._recall_us:
             return []
         self._recall_us = now_us + RECALL_US
         self._end_abstaining(now_us)
@@ -147,28 +209,32 @@
         terms = {task: self.highest(task) for task in {*self._slots, *self._floor}}
         if self._least:
             terms[""] = self._least
-        return Recalled(recall.number, self.remembers, terms)
+        return Recalled(recall.number, self.remembers, terms, self.may_remember)
 
     def told(self, now_us: int, sender: str, answer: Recalled) -> None:
-        if self.remembers or sender not in self.voters.all():
+        if self.remembers or self.may_remember or sender not in self.voters.all():
             return
         self._recalled[sender] = answer
         self._end_abstaining(now_us)
 
     def _end_abstaining(self, now_us: int) -> None:
         waited_us = now_us - self._began_us
-        if waited_us < abstain_us(self._terms):
+        if waited_us < abstain_us(self._terms) or not self.registered():
             return
         remembering = {name for name, a in self._recalled.items() if a.remembers}
         everybody = {*self._recalled, self._name} >= set(self.voters.all())
         if not self.voters.majority(remembering):
             # Too few remember: a term may have been forgotten by all who granted it.
+            if any(a.may_remember for a in self._recalled.values()):
+                return  # they will tell in a moment
             lost = everybody and not remembering
             patient = waited_us >= abstain_us(self._terms) + int(PATIENCE * self._terms.lease_s * SECOND)
             if not self.voters.majority({*self._recalled, self._name}) or not (lost or patient):
                 return
             self._least = max(self._founding(), self._least)
+            self.write_floor("", self._least)
             self.founded = True
+            self.on_founded()
         for answer in self._recalled.values():
             for task, term in answer.terms.items():
                 if task:
@@ -176,4 +242,4 @@
                 else:
                     self._least = max(self._least, term)
         self._recalled.clear()
-        self.remembers = True
+        self._remember(True)
--- a/sailrun/owners/walk.py
+++ b/sailrun/owners/walk.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from sailrun.owners.messages import Walk, Walking
@@ -16,6 +17,8 @@
 ASK_US = 300_000
 # A node that has not answered for so long is passed over, so that the others get their turn.
 SILENT_US = 10 * SECOND
+# What a node has done is on its disk within this, or said all the same.
+WRITE_US = 5 * SECOND
 # So many walks are remembered, here and where one was begun.
 KEPT = 64
 
@@ -51,6 +54,8 @@
     state: str = "asked"
     why: str = ""
     empty_us: int = 0
+    ends: int = -1  # the entry that says that it ends
+    ends_us: int = 0
 
 
 class Walks:
@@ -61,14 +66,38 @@
         self.begun: dict[str, Begun] = {}
         self._parts: dict[str, _Part] = {}
         self.drain: bool | None = None  # what the core is to do, for whoever drives this; emptied by him
+        # Told what is to be known after a restart: that this node's part in a walk ends, which is answered
+        # with the entry that says so, and is done once that is `safe`; a walk begun here with how long each
+        # node stays empty, and without names once it is over.
+        self.on_end: Callable[[str], int] = lambda walk: 0
+        self.safe: Callable[[int], bool] = lambda entry: True
+        self.on_done: Callable[[str], None] = lambda walk: None
+        self.on_plan: Callable[[str, int, list[str]], None] = lambda walk, for_us, names: None
+
+    def take_up(self, now_us: int, done: Iterable[str], plans: Iterable[tuple[str, int, list[str]]]) -> None:
+        """What a process before this one knew: parts that are done, walks to go on with."""
+        for walk in done:
+            self._parts[walk] = _Part(walk, 0, "done")
+        for walk, for_us, names in plans:
+            self._begin(now_us, walk, names, for_us)
+
+    def plans(self) -> list[tuple[str, int, list[str]]]:
+        return [(b.walk, b.for_us, [s.name for s in b.steps]) for b in self.begun.values() if not b.over]
+
+    def done(self) -> list[str]:
+        return [part.walk for part in self._parts.values() if part.state == "done"]
 
     # ------------------------------------------------------------------ where it was begun
 
     def begin(self, now_us: int, walk: str, names: list[str], for_us: int) -> None:
         if walk not in self.begun:
-            while len(self.begun) >= KEPT:
-                del self.begun[next(iter(self.begun))]
-            self.begun[walk] = Begun(walk, for_us, [_Step(n, heard_us=now_us) for n in names])
+            self._begin(now_us, walk, names, for_us)
+            self.on_plan(walk, for_us, names)
+
+    def _begin(self, now_us: int, walk: str, names: list[str], for_us: int) -> None:
+        while len(self.begun) >= KEPT:
+            del self.begun[next(iter(self.begun))]
+        self.begun[walk] = Begun(walk, for_us, [_Step(n, heard_us=now_us) for n in names])
 
     def turn(self, now_us: int) -> list[tuple[str, Walk]]:
         """Tells each node in turn: the next one once the one before has its place in the queue."""
@@ -96,6 +125,8 @@
         for step in begun.steps if begun is not None else ():
             if step.name == sender and step.state != "done":
                 step.state, step.why, step.heard_us = word.state, word.why, now_us
+                if begun is not None and begun.over:
+                    self.on_plan(begun.walk, 0, [])
 
     # ------------------------------------------------------------------ the node's own part
 
@@ -140,7 +171,13 @@
         working = self.draining
         for part in self._parts.values():
             if part.state == "empty" and now_us - part.empty_us >= part.for_us:
+                if part.ends < 0:
+                    part.ends, part.ends_us = self.on_end(part.walk), now_us
+                # A disk that fails holds nobody up for longer than this.
+                if not self.safe(part.ends) and now_us - part.ends_us < WRITE_US:
+                    continue
                 part.state = "done"
+                self.on_done(part.walk)
                 self._holder.give_back(now_us, DRAIN, self._name)
                 self.drain, working = False, False
             elif part.state in ("asked", "queued") and not working:
--- a/sailrun/replica/keeper.py
+++ b/sailrun/replica/keeper.py
@@ -1,10 +1,12 @@
 """A voter's memory of marks: what it has promised, in which of its lives, and what it must know before it may
-speak again. A voter keeps nothing on disk; it is trusted because every majority has somebody who remembers.
+speak again. A voter without a folder is trusted because every majority has somebody who remembers; one that
+goes by its folder has forgotten nothing, and goes on in the life it was in.
 
-After a start it numbers its life (one more than any voter remembers of it), has a majority of remembering
-voters write that number down, and takes over what they hold as it was after that. What it said in an earlier
-life is void from then on: whoever counts answers of voters finds an answer of theirs that knows of a later
-life, and counts the older one no more (crash-consistent quorums: Michael, Ports, Sharma, Szekeres 2017).
+After a start without one it numbers its life (one more than any voter remembers of it), has a majority of
+remembering voters write that number down, and takes over what they hold as it was after that. What it said in
+an earlier life is void from then on: whoever counts answers of voters finds an answer of theirs that knows of
+a later life, and counts the older one no more (crash-consistent quorums: Michael, Ports, Sharma, Szekeres
+2017).
 """
 
 from __future__ import annotations
@@ -15,6 +17,7 @@
 import msgspec
 
 from sailrun.owners.quorum import Voters
+from sailrun.replica.diary import Diary
 from sailrun.replica.messages import (
     Higher,
     Kept,
@@ -71,8 +74,12 @@
         sync: Sync,
         now_us: int,
         off: frozenset[str] = frozenset(),
+        diary: Diary | None = None,
     ) -> None:
         self._name, self._voters, self._store, self._sync, self._off = name, voters, store, sync, off
+        self._diary = diary or Diary()
+        self.may_remember = False  # a folder is being compared with what the others know of it
+        self._remembered = False  # it remembered, by that folder
         self.life = 0
         self.lives: dict[str, int] = {}
         self.promised = 0
@@ -86,6 +93,37 @@
         self.remembers = "lives" in self._off
         self._recovery = _Recovery(self._sync.next_number(), now_us)
         self._levels.clear()
+        self._write()
+
+    # ------------------------------------------------------------------ what outlasts the process
+
+    def take_up(
+        self, life: int, promised: int, lives: dict[str, int], remembers: bool, may_remember: bool
+    ) -> None:
+        """What its folder has of the time before this process; `remembers`: as that said. `may_remember`: it
+        may be all, as `trust` or `restart` will tell.
+        """
+        self.life, self.promised = max(life, self.life), max(promised, self.promised)
+        self.lives = {**lives, **self.lives}
+        self.may_remember, self._remembered = may_remember, remembers
+
+    def trust(self) -> None:
+        """The folder is the newest there is."""
+        self.may_remember = False
+        self.remembers = self.remembers or (self._remembered and self._sync.whole)
+
+    def state(self) -> tuple[int, int, dict[str, int], bool]:
+        """What the diary is told."""
+        remembers = self.remembers or (self.may_remember and self._remembered)
+        return self.life, self.promised, dict(self.lives), remembers
+
+    def _write(self) -> None:
+        self._diary.keeps(*self.state())
+
+    def _promise(self, term: int) -> None:
+        if term > self.promised:
+            self.promised = term
+            self._write()
 
     # ------------------------------------------------------------------ what owners ask
 
@@ -96,7 +134,7 @@
                     return []
                 if term < self.promised and "fence" not in self._off:
                     return [(sender, Higher(term, number, self.promised))]
-                self.promised = max(self.promised, term)
+                self._promise(term)
                 leaves = self._store.unlike(groups)
                 return [(sender, Promised(term, number, epoch, self.life, dict(self.lives), leaves))]
             case Put(term, number, epoch, records):
@@ -104,7 +142,7 @@
                     return self._sync.ask(sender) if epoch > self._sync.epoch else []
                 if term < self.promised and "fence" not in self._off:
                     return [(sender, Higher(term, number, self.promised))]
-                self.promised = max(self.promised, term)
+                self._promise(term)
                 self._sync.take_in(now_us, records, 0)
                 if not all(covers(self._store.get(r.key), [v.dot for v in r.versions]) for r in records):
                     return []  # full, or none of this program's
@@ -114,17 +152,19 @@
                     return []
                 if term < self.promised and "fence" not in self._off:
                     return [(sender, Higher(term, number, self.promised))]
-                self.promised = max(self.promised, term)
+                self._promise(term)
                 return self._level(now_us, sender, body, groups)
             case Knows(number):
-                known = Known(number, self.remembers, self._all_lives(), self.promised)
+                known = Known(number, self.remembers, self._all_lives(), self.promised, self.may_remember)
                 return [(sender, known)]
             case Known():
                 return self._is_known(now_us, sender, body)
             case Recover(number, life, epoch, groups):
                 if not self.remembers or not self._sync.whole:
                     return []
-                self.lives[sender] = max(life, self.lives.get(sender, 0))
+                if life > self.lives.get(sender, 0):
+                    self.lives[sender] = life
+                    self._write()
                 told = Recovering(
                     number, self._sync.epoch, self._all_lives(), self.promised, self._store.unlike(groups)
                 )
@@ -166,10 +206,10 @@
     # ------------------------------------------------------------------ the voter's own return
 
     def due_us(self) -> int | None:
-        return None if self.remembers else self._ask_us
+        return None if self.remembers or self.may_remember else self._ask_us
 
     def turn(self, now_us: int) -> list[Post]:
-        if self.remembers or now_us < self._ask_us:
+        if self.remembers or self.may_remember or now_us < self._ask_us:
             return []
         self._ask_us = now_us + ASK_US
         if not self._sync.whole:
@@ -185,7 +225,13 @@
 
     def _is_known(self, now_us: int, sender: str, told: Known) -> list[Post]:
         back = self._recovery
-        if self.remembers or told.number != back.number or back.life or sender not in self._voters().all():
+        if (
+            self.remembers
+            or self.may_remember
+            or told.number != back.number
+            or back.life
+            or sender not in self._voters().all()
+        ):
             return []
         back.known[sender] = told
         remembering = {name for name, known in back.known.items() if known.remembers}
@@ -200,7 +246,8 @@
         there is, and is what this voter begins with.
         """
         back, voters = self._recovery, self._voters()
-        forgot = {name for name, known in back.known.items() if not known.remembers} | {self._name}
+        forgot = {n for n, known in back.known.items() if not known.remembers and not known.may_remember}
+        forgot.add(self._name)
         unheard = set(voters.all()) - back.known.keys() - {self._name}
         if voters.majority(set(voters.all()) - forgot):
             return  # a majority may remember yet: what it holds must not be passed over
@@ -214,6 +261,8 @@
                     self.lives[name] = max(life, self.lives.get(name, 0))
         self.promised = max([self.promised, *(known.promised for known in back.known.values())])
         self.remembers = True
+        self._write()
+        self._sync.on_founded()
         self._sync.note("marks-founded", life=self.life, records=len(self._store))
 
     def _recovering(self, now_us: int, sender: str, told: Recovering) -> list[Post]:
@@ -250,4 +299,5 @@
                 if voter != self._name:
                     self.lives[voter] = max(life, self.lives.get(voter, 0))
         self.remembers = True
+        self._write()
         self._sync.note("marks-remembered", life=self.life, voters=",".join(sorted(back.taken)))
--- a/sailrun/replica/messages.py
+++ b/sailrun/replica/messages.py
@@ -156,6 +156,7 @@
     remembers: bool
     lives: dict[str, int]
     promised: int
+    may_remember: bool = False  # its folder is being compared: it will know in a moment
 
 
 class Recover(msgspec.Struct, array_like=True, frozen=True, tag="recover"):
--- a/sailrun/replica/replica.py
+++ b/sailrun/replica/replica.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -15,6 +15,7 @@
 
 from sailrun.members.swim import Members
 from sailrun.owners.quorum import Voters
+from sailrun.replica.diary import Diary
 from sailrun.replica.keeper import Keeper
 from sailrun.replica.marks import KINDS, Mark, Standing, marks, pack, standing, unpack
 from sailrun.replica.messages import (
@@ -50,6 +51,8 @@
 # How long a mark is tried for where its writer says nothing else.
 MARK_US = 6 * SECOND
 MOST_WRITES = 1000
+# The latest list is written down so often, where anything is.
+LISTS_US = 10 * SECOND
 BELIEF, LIST = "belief", "list"
 _KEEPER = (Promise, Put, Level, Knows, Known, Recover, Recovering)
 _OFFICE = (Promised, Kept, Higher, Has)
@@ -100,7 +103,11 @@
         now_us: int,
         off: frozenset[str] = frozenset(),
         record: Callable[..., None] = lambda kind, **facts: None,
+        diary: Diary | None = None,
     ) -> None:
+        self._diary = diary or Diary()
+        self._lists: set[Key] = set()  # changed lists, which nobody counts on and which change often
+        self._lists_us = now_us
         self.terms, self.name, self._members, self._voters, self._off = terms, name, members, voters, off
         self._limit, self._act = limit, record
         self._luck = random.Random(seed)
@@ -116,11 +123,13 @@
             self._luck.getrandbits(32),
             now_us,
             off,
+            self._diary,
         )
         self.keeper: Keeper | None = None
         self.office: Office | None = None
         self.use_voters(now_us)
         self.sync.on_thrown = self._thrown
+        self.sync.on_founded = lambda: self._act("founded", what="marks")
         self.sync.on_lost = lambda key: self._touched.add(key) if key[0] in KINDS else None
         self._actor = f"{name}/{life:x}"
         self._count = 0
@@ -146,7 +155,18 @@
         if self.name not in self._voters().all():
             self.keeper = None
         elif self.keeper is None:
-            self.keeper = Keeper(self.name, self._voters, self.store, self.sync, now_us, self._off)
+            self.keeper = Keeper(
+                self.name, self._voters, self.store, self.sync, now_us, self._off, self._diary
+            )
+
+    def take_up(self, now_us: int, records: Iterable[Record], epoch: int) -> int:
+        """A whole copy that outlasted the process. Its marks are in force until others tell more; returns how
+        many records there was no room for.
+        """
+        left = self.store.load(now_us, records)
+        self.sync.take_up(epoch)
+        self._look_over = True
+        return left
 
     def _thrown(self, now_us: int, counted: bool) -> None:
         self.level_us = -1
@@ -299,6 +319,7 @@
         posts += self._compare(now_us, owner)
         self._ask(now_us)
         self._apply(now_us)
+        self._write_lists(now_us)
         return posts
 
     def _compare(self, now_us: int, owner: str) -> list[Post]:
@@ -424,6 +445,20 @@
     def _on_change(self, record: Record) -> None:
         if record.kind in KINDS:
             self._touched.add(record.key)
+        if record.kind == LIST:
+            self._lists.add(record.key)
+        elif not record.soft:
+            self._diary.record(record)
+
+    def _write_lists(self, now_us: int) -> None:
+        """Lists are long, change often, and are told again by the roster: the latest now and then."""
+        if now_us < self._lists_us:
+            return
+        self._lists_us = now_us + LISTS_US
+        while self._lists:
+            record = self.store.get(self._lists.pop())
+            if record is not None:
+                self._diary.record(record)
 
     def _apply(self, now_us: int) -> None:
         """Notes what came into force. What a copy held that is taken anew stays so until it is whole."""
--- a/sailrun/replica/service.py
+++ b/sailrun/replica/service.py
@@ -64,6 +64,10 @@
         self._node.believed(lambda believed: self._fleet.carrier.post(self._said(believed)))
         self._hear_say(now_us)
 
+    def begins_with(self, drains: bool) -> None:
+        """What the node began with, by its folder: it drains already."""
+        self._drains = drains
+
     def _settle(self, names: frozenset[str]) -> Callable[[int], list[Out]]:
         """What a predecessor on this machine had out, and the fleet has put back since, goes back."""
 
@@ -72,6 +76,9 @@
             for name in sorted(names - marked):
                 log("mark", kind=OUT, subject=name, on=False)
                 self._out(name, False)
+            own = (DRAIN, self._replica.name)
+            if self._drains and own not in {(s.kind, s.subject) for s in self._replica.standings() if s.on}:
+                self._drain(False)
             return []
 
         return call
--- a/sailrun/replica/store.py
+++ b/sailrun/replica/store.py
@@ -180,6 +180,30 @@
         self._set(now_us, merged)
         return Took.NEW
 
+    def load(self, now_us: int, records: Iterable[Record]) -> int:
+        """Takes over many firm records at once, into an empty copy; returns how many were not taken: out of
+        bounds, or over what there is room for.
+        """
+        left = 0
+        for record in records:
+            try:
+                check(record)
+            except BadRecord:
+                left += 1
+                continue
+            if record.soft or self._full(record):
+                left += 1
+                continue
+            mark, size = mark_of(record, self._salt), size_of(record)
+            number = range_of(record.key, False)
+            self._entries[record.key] = _Entry(record, mark, size, now_us)
+            self._digests[number] = (self._digests[number] + mark) & _64
+            self._counts[number] += 1
+            self.bytes += size
+        self._order = SortedList((range_of(key, False), key) for key in self._entries)
+        self._keys = SortedList(self._entries)
+        return left
+
     def replace(self, now_us: int, record: Record) -> None:
         """Takes this instead of what is held: a spoilt copy is mended."""
         check(record)
--- a/sailrun/replica/sync.py
+++ b/sailrun/replica/sync.py
@@ -17,6 +17,7 @@
 
 from sailrun.members.messages import State
 from sailrun.members.swim import Members
+from sailrun.replica.diary import Diary
 from sailrun.replica.messages import (
     Busy,
     Differs,
@@ -91,7 +92,9 @@
         seed: int,
         now_us: int,
         off: frozenset[str] = frozenset(),
+        diary: Diary | None = None,
     ) -> None:
+        self._diary = diary or Diary()
         self._name, self.store, self.terms, self._members = name, store, terms, members
         self._voters, self._majority, self._off = voters, majority, off
         self._luck = random.Random(seed)
@@ -104,6 +107,7 @@
         # The copy was thrown away; told whether others counted on what it held.
         self.on_thrown: Callable[[int, bool], None] = lambda now_us, counted: None
         self.on_lost: Callable[[Key], None] = lambda key: None  # nobody had the record
+        self.on_founded: Callable[[], None] = lambda: None  # too few voters remembered
         self._hot: OrderedDict[Key, int] = OrderedDict()  # by key, how often told
         self._attic: list[Record] = []  # of a copy thrown away: what nodes said on their own word
         self.lost: dict[Key, int] = {}  # records whose bytes were spoilt, to be had again by a time
@@ -122,6 +126,10 @@
         self.missing = 0  # records said to be in ranges that are to be copied
         self._told_full = False
 
+    def take_up(self, epoch: int) -> None:
+        """A whole copy of this epoch was found at the start; how far it is behind, others will tell."""
+        self.epoch, self.whole, self._left = epoch, True, set()
+
     def next_number(self) -> int:
         self._number += 1
         return self._number
@@ -235,6 +243,8 @@
             pass
         elif told.epoch > self.epoch:
             known = told.forgotten
+            if known is None and self.whole and not told.whole:
+                return []  # it has begun a copy of that epoch, and knows no more of it: others will tell
             if not self.whole or known is None or not self.advance(now_us, known):
                 # What was told is how that copy differs from the one that is thrown away: it is asked anew.
                 self.begin_copy(now_us, told.epoch, "too far behind")
@@ -270,6 +280,7 @@
         self._sums.clear()  # answers under way are about the copy that is no more
         self._left, self._assigned, self._places = set(range(ALL)), {}, {}
         self._answered.clear()
+        self._diary.copy(epoch, False, cleared=True)
         self.on_thrown(now_us, spoilt)
 
     def _copy_from(self, now_us: int, giver: str, told: Differs, ranges: list[int]) -> None:
@@ -318,6 +329,7 @@
 
     def _have_copied(self, now_us: int) -> None:
         self.whole = True
+        self._diary.copy(self.epoch, True)
         self.note("copy-whole", records=len(self.store), epoch=self.epoch, pieces=self.taker.pieces)
         self.missing = 0
         attic, self._attic = self._attic, []
@@ -381,8 +393,10 @@
             known = self.store.get(key)
             if known is not None and [v.dot for v in known.versions] == [(actor, count)] and known.gone:
                 self.store.remove(key)
+                self._diary.dropped(key)
                 self._hot.pop(key, None)
         self.epoch = told.epoch
+        self._diary.copy(self.epoch, True)
         if self.store.get(FORGOTTEN) != record:
             self.store.put(now_us, record)
         self.note("forgotten", epoch=self.epoch, records=len(told.items))
--- a/sailrun/serve.py
+++ b/sailrun/serve.py
@@ -21,6 +21,7 @@
 from sailrun.roster import RosterClient
 
 if TYPE_CHECKING:
+    from sailrun.lasting.service import LastingPart
     from sailrun.owners.agent import AgentTerms
     from sailrun.owners.service import FleetPart
     from sailrun.owners.shared import SharedRoster
@@ -59,14 +60,20 @@
         self._read = read
         self._config = config
         self._inherited = inherited
+        self._lasting = self._open_lasting(config, inherited is not None)
         passed = inherited.state if inherited is not None else None
+        clock = Clock()
+        if passed is None and self._lasting is not None:
+            drains = config.operator is not None and not config.operator.permits.enabled
+            passed = self._lasting.passed(config.known, clock.now_us(), drains)
         # A predecessor's list is newer than the platform's, and its watch can be gone on with.
         known = passed.roster if passed is not None and passed.roster.form_servers else config.known
-        self.node = Node(config.settings, config.seed, Clock(), known, passed=passed)
+        self.node = Node(config.settings, config.seed, clock, known, passed=passed)
         self._revision = known.revision
         descriptors = descriptors_allowed(config.descriptors)
         self._households = Households(self.node, config.groups, descriptors)
         self._descriptors = descriptors
+        self._writing = anyio.CancelScope()
         self._fleet = self._join_fleet(config, inherited is not None)
         # Before any task: an address that is not to be had is the caller's fault, and ends in one line.
         self._open_doors = self._doors(config, _DOORS)
@@ -85,13 +92,24 @@
             )
             self.node.neighbours = self._datagrams
 
+    def _open_lasting(self, config: NodeConfig, patient: bool) -> LastingPart | None:
+        if config.operator is None or not config.operator.lasting.enabled:
+            return None
+        # Loaded only where it is switched on: the platform has no disk that lasts.
+        from sailrun.lasting.service import LastingPart
+        from sailrun.owners.clock import boot_us
+
+        members, slow_us = config.operator.members, int(config.operator.owners.lease_s * 500_000)
+        name, fleet = members.name or config.name, members.fleet if members.enabled else ""
+        return LastingPart(config.operator.lasting, name, fleet, slow_us, patient, boot_us)
+
     def _join_fleet(self, config: NodeConfig, patient: bool) -> FleetPart | None:
         if config.operator is None or not config.operator.members.enabled:
             return None
         # Loaded only where it is switched on: the platform's nodes have no path to each other but datagrams.
         from sailrun.owners.service import FleetPart
 
-        return FleetPart(self.node, config, patient)
+        return FleetPart(self.node, config, patient, self._lasting)
 
     def _switch(self, config: NodeConfig) -> None:
         """Switches subsystems on or off, as the operator's file has them."""
@@ -165,13 +183,16 @@
             door.pause() if yes else door.resume()
         if self._datagrams is not None:
             self._datagrams.pause() if yes else self._datagrams.resume()
-        if self._fleet is None:
-            return
-        if yes:
-            # The name and the address are the successor's now.
+        if yes and self._fleet is None:
+            self._writing.cancel()  # the folder is the successor's now
+        elif yes and self._fleet is not None:
+            # The name and the address are the successor's now, and the folder.
             self._fleet.give_up()
         else:
+            self._lasting = self._open_lasting(self._config, patient=True)
             self._fleet = self._join_fleet(self._config, patient=True)
+            if self._fleet is None:
+                self._write_alone()
             if self._fleet is not None:
                 self.group.start_soon(self._fleet.run)
 
@@ -202,6 +223,8 @@
             group.start_soon(self._datagrams.run)
         if self._fleet is not None:
             group.start_soon(self._fleet.run)
+        else:
+            self._write_alone()
         if self._config.control is not None:
             from sailrun.succession.handover import Handover
 
@@ -216,6 +239,12 @@
             )
             group.start_soon(handover.run)
 
+    def _write_alone(self) -> None:
+        """A node without a fleet writes down what it has learned of form servers."""
+        if self._lasting is not None:
+            self._writing = anyio.CancelScope()
+            self.group.start_soon(self._lasting.run_alone, self.node, self._writing)
+
     async def _ask_roster(self) -> None:
         roster, scope = self._roster, self._asking
         with scope:
--- a/sailrun/succession/state.py
+++ b/sailrun/succession/state.py
@@ -51,7 +51,7 @@
 
 
 def write_state(state: State) -> dict[str, Any]:
-    learned = state.learned
+    learned = state.learned or i.Recalled((), (), {})
     return {
         "roster": {
             "revision": state.roster.revision,
