--- a/sailrun/lab/faults/play.py
+++ b/sailrun/lab/faults/play.py
@@ -130,6 +130,7 @@
         lambda index, voters, joins: agent_terms(index, voters, joins, plan),
         day.seed,
         1.0 if plan.copies else 0.0,
+        LASTING if plan.lasting else None,
     )
     # Days side by side start processes from several threads, which uvloop refuses.
     anyio.run(rig.play, seconds, lambda fleet: Nemesis(fleet, plan, day.seed, seconds, LEASE_S))
--- a/sailrun/lab/faults/rig.py
+++ b/sailrun/lab/faults/rig.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -32,6 +33,9 @@
 from sailrun.lab.faults.history import Row
 from sailrun.lab.faults.relays import HOST, Address, Relays
 from sailrun.lab.terms import WorldTerms
+from sailrun.lasting.files import OsFiles
+from sailrun.lasting.folder import read_folder
+from sailrun.lasting.terms import LastingTerms
 from sailrun.owners.agent import AgentTerms
 
 MOST_NODES = 15
@@ -66,6 +70,12 @@
     "marks-open",
     "marks-remembered",
     "marks-founded",
+    "lasting-trusted",
+    "lasting-old",
+    "lasting-slow",
+    "lasting-able",
+    "lasting-failed",
+    "lasting-behind",
 )
 
 
@@ -94,8 +104,10 @@
         terms: Callable[[int, list[str], list[str]], AgentTerms],
         seed: int,
         copies_s: float = 0.0,
+        lasting: LastingTerms | None = None,
     ) -> None:
-        """Copies are looked at every `copies_s`, if they are."""
+        """Copies are looked at every `copies_s`, if they are. With `lasting`, each node has a folder."""
+        self._lasting = lasting
         if not 1 <= nodes <= MOST_NODES:
             raise ValueError(f"{nodes} nodes are not from 1 to {MOST_NODES}")
         self.names = [f"n{n}" for n in range(nodes)]
@@ -218,6 +230,8 @@
                 node.owns[facts["task"]] = facts["until_us"]
             elif self.rows[-1]["kind"] == "lost":
                 node.owns.pop(facts["task"], None)
+        elif what == "lasting":
+            self.row("folder", node.name, what="found", sound=facts.get("found"), why=facts.get("why"))
         elif what in KEPT or "Error" in line or "Traceback" in line:
             self.row("log", node.name, text=rest[:300])
 
@@ -278,6 +292,8 @@
             "reader": _set(terms.reader),
             "replica": _set(terms.replica),
         }
+        if self._lasting is not None:
+            tables["lasting"] = {**_set(self._lasting), "folder": str(self._kept(node.name))}
         path = self._folder / f"{node.name}.toml"
         path.write_text(tomli_w.dumps(tables))
         return path
@@ -366,6 +382,43 @@
     def spoil(self, name: str) -> None:
         """A real process's memory is left alone: that is played in virtual time."""
 
+    # ------------------------------------------------------------------ folders
+
+    def _kept(self, name: str) -> Path:
+        return self._folder / f"{name}-kept"
+
+    def power_cut(self, names: list[str]) -> None:
+        """A real machine keeps its power: the processes are killed, and what they wrote is there."""
+        self.told("killed", names=",".join(names))
+        for name in names:
+            self.kill(name)
+
+    def stall(self, name: str, for_us: int) -> None:
+        """A real disk is left alone: that is played in virtual time."""
+
+    def fill(self, names: list[str], for_us: int) -> None:
+        """A real disk is left alone: that is played in virtual time."""
+
+    def back_up(self, name: str) -> None:
+        if self._kept(name).is_dir():
+            self.told("back-up", node=name)
+            shutil.copytree(self._kept(name), self._kept(f"{name}-old"), dirs_exist_ok=True)
+
+    def restore(self, name: str) -> None:
+        """Puts the folder of then in the place of what there is, each file over its own; the process is not
+        running.
+        """
+        old, kept = self._kept(f"{name}-old"), self._kept(name)
+        if self.nodes[name].process is not None or not old.is_dir():
+            return
+        position = read_folder(OsFiles(old)).position
+        self.row("fault", name, what="restore", position=position)
+        for path in kept.iterdir():
+            if not (old / path.name).exists():
+                path.unlink()
+        for path in old.iterdir():
+            (kept / path.name).write_bytes(path.read_bytes())
+
     def _ask(self, name: str, line: str) -> None:
         self.group.start_soon(self.call, name, line)
 
--- a/sailrun/lasting/folder.py
+++ b/sailrun/lasting/folder.py
@@ -168,8 +168,9 @@
         except NewerSchema:
             raise
         except BadFile:
-            # The last one, of which nothing but the head's place had come to the disk: it was never used.
-            if n == len(chain) - 1 and n and files.size(name) <= HEAD_BYTES:
+            # The last one, of which nothing but the head's place had come to the disk: it was never used. A
+            # snapshot's own was synced before that.
+            if n == len(chain) - 1 and generation != base and files.size(name) <= HEAD_BYTES:
                 break
             raise
         if head.kind is Kind.ALONE and generation != base:
--- /dev/null
+++ b/tests/test_lasting.py
@@ -0,0 +1,459 @@
+"""A node's own folder: what it is found to hold after whatever befell it, and what is promised by it."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import random
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from sailrun import interface as i
+from sailrun.lab.faults import disk
+from sailrun.lab.faults.disk import SimFiles
+from sailrun.lab.faults.killing import cut_at, entry_of, everything, kill_often, last_of, write
+from sailrun.lab.faults.play import FaultDay, play_virtual
+from sailrun.lasting import beliefs
+from sailrun.lasting import entries as e
+from sailrun.lasting.files import OsFiles
+from sailrun.lasting.folder import Folder, Found, Sound, read_folder
+from sailrun.lasting.frames import FRAME_BYTES, HEAD_BYTES, NewerSchema
+from sailrun.lasting.ledger import Disk, Ledger
+from sailrun.lasting.messages import Stand
+from sailrun.lasting.scribe import Scribe
+from sailrun.lasting.standing import GRACE_US, Own, Standing, Trust
+from sailrun.lasting.terms import LastingTerms
+from sailrun.replica.records import written
+
+SECOND = 1_000_000
+TERMS = LastingTerms(folder="folder")
+
+
+def kept(most: int = 60, seed: int = 1) -> SimFiles:
+    """A folder with that many entries, in a few generations."""
+    files = SimFiles()
+    write(files, random.Random(seed), lambda number: None, most, frozenset())
+    return files
+
+
+def test_power_cut_at_every_step_leaves_the_state_before_or_after() -> None:
+    for step in range(1, 300):
+        for seed in range(4):
+            assert cut_at(step, seed) is None
+
+
+@pytest.mark.parametrize("rule", ["sync", "folder"])
+def test_without_a_sync_power_cuts_take_what_was_acknowledged(rule: str) -> None:
+    assert any(cut_at(step, seed, frozenset([rule])) for step in range(1, 300) for seed in range(4))
+
+
+def test_every_subset_of_what_was_not_synced_leaves_the_state_before_or_after(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Pieces of 32 bytes: each of those a write had may be there or not, whatever the others do."""
+    monkeypatch.setattr(disk, "PIECE", 32)
+    files = kept(20)
+    found = read_folder(files)
+    folder = Folder(files, found)
+    folder.go_on()
+    before = last_of(found.memory)
+    name = f"journal.{found.generation}"
+    firm = files.size(name)
+    folder.write([entry_of(before + 1 + n) for n in range(4)])
+    whole = files.read(name, 0, 1 << 20)
+    pieces = range(firm // 32, (len(whole) + 31) // 32)
+    assert 8 <= len(pieces) <= 14
+    seen = set()
+    for there in itertools.product((False, True), repeat=len(pieces)):
+        data = bytearray(whole)
+        for piece, yes in zip(pieces, there, strict=True):
+            begin, end = max(firm, 32 * piece), min(len(whole), 32 * piece + 32)
+            if not yes:
+                data[begin:end] = bytes(end - begin)
+        files._names[name].data = data
+        again = read_folder(files)
+        assert again.sound is Sound.SOUND, again.why
+        seen.add(last_of(again.memory))
+    assert seen == set(range(before, before + 5))
+
+
+def test_a_journal_cut_at_every_byte_is_read_up_to_there() -> None:
+    files = kept(40)
+    found = read_folder(files)
+    name = f"journal.{found.generation}"
+    whole = files.read(name, 0, 1 << 20)
+    last = last_of(found.memory)
+    for size in range(len(whole), HEAD_BYTES - 1, -1):
+        files._names[name].data = bytearray(whole[:size])
+        again = read_folder(files)
+        now = last_of(again.memory)
+        assert again.sound is Sound.SOUND and 0 <= now <= last
+        last = now
+
+
+def test_a_byte_changed_by_hand_is_never_believed() -> None:
+    """Whatever byte: what is read is a state that was, and one that was known to be on the disk and is spoilt
+    makes the folder doubtful.
+    """
+    files = SimFiles()
+    folder = Folder(files, Found(Sound.NEW))
+    folder.begin("n1", "fleet", bytes(16))
+    for number in range(1, 13):
+        folder.write([entry_of(number)])
+        folder.sync()
+    found = read_folder(files)
+    name = f"journal.{found.generation}"
+    whole = files.read(name, 0, 1 << 20)
+    doubtful = 0
+    for at in range(len(whole)):
+        data = bytearray(whole)
+        data[at] ^= 1 << (at % 8)
+        files._names[name].data = data
+        again = read_folder(files)
+        assert 0 <= last_of(again.memory) <= last_of(found.memory)
+        doubtful += again.sound is Sound.DOUBTFUL
+    # All but those of the last one, after which nothing tells that it was on the disk.
+    assert doubtful > len(whole) * 10 / 13
+
+
+@settings(max_examples=150, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+@given(
+    st.dictionaries(
+        st.sampled_from(["identity", "journal.1", "journal.2", "snapshot.2"]), st.binary(max_size=400)
+    )
+)
+def test_no_file_at_all_brings_the_reader_down(content: dict[str, bytes]) -> None:
+    files = SimFiles()
+    for name, data in content.items():
+        files.create(name).write(data)
+    assert read_folder(files).sound is (Sound.DOUBTFUL if content else Sound.NEW)
+
+
+@settings(max_examples=200, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+@given(st.data())
+def test_a_sound_folder_with_anything_in_it_changed_is_a_state_that_was_or_doubtful(
+    data: st.DataObject,
+) -> None:
+    files = kept(30, seed=data.draw(st.integers(0, 5)))
+    last = last_of(read_folder(files).memory)
+    name = data.draw(st.sampled_from(sorted(n for n in files.names() if n != "lock")))
+    content = bytearray(files._names[name].data)
+    at = data.draw(st.integers(0, len(content)))
+    content[at : at + data.draw(st.integers(0, 60))] = data.draw(st.binary(max_size=60))
+    files._names[name].data = content
+    found = read_folder(files)
+    if found.sound is Sound.SOUND:
+        assert 0 <= last_of(found.memory) <= last
+
+
+def test_a_journal_or_a_snapshot_alone() -> None:
+    files = kept(400)
+    found = read_folder(files)
+    assert found.generation > 2
+    for name in (f"journal.{found.generation}", f"journal.{found.generation - 1}"):
+        without = files.copy()
+        del without._names[name]
+        without._names["identity"].number = files.inode("identity")
+        gone = read_folder(without)
+        # The last journal may be missing only where nothing says that it was begun.
+        assert gone.sound is Sound.DOUBTFUL or last_of(gone.memory) == last_of(found.memory)
+    damaged = files.copy()
+    damaged.roll_back(files)
+    damaged._names["identity"].number = files.inode("identity")
+    newest = max(int(n.partition(".")[2]) for n in files.names() if n.startswith("snapshot."))
+    damaged._names[f"snapshot.{newest}"].data[80] ^= 1
+    again = read_folder(damaged)
+    assert again.sound is Sound.SOUND and last_of(again.memory) == last_of(found.memory)
+
+
+def test_a_copied_folder_and_another_nodes_are_not_gone_by() -> None:
+    files = kept()
+    assert read_folder(files).sound is Sound.SOUND
+    copied = read_folder(files.copy())
+    assert copied.sound is Sound.DOUBTFUL and "copied" in copied.why
+    files.create("identity.new").write(b"{}")
+    assert read_folder(files).sound is Sound.SOUND
+
+
+def test_a_newer_schema_is_refused_and_older_entries_have_their_defaults() -> None:
+    files = kept()
+    name = f"journal.{read_folder(files).generation}"
+    head = files._names[name].data
+    head[8:10] = (2).to_bytes(2, "little")
+    from hashlib import blake2b
+
+    head[44:52] = blake2b(bytes(head[:44]), digest_size=8, key=bytes(head[20:36])).digest()
+    with pytest.raises(NewerSchema, match="schema 2; this version reads up to 1"):
+        read_folder(files)
+    import msgspec
+
+    noted = e.unpack(msgspec.msgpack.encode(["noted", "n1", "f", 1, 2]))  # as written before it had `run`
+    assert noted == e.Noted("n1", "f", 1, 2, 0)
+
+
+def test_killed_in_the_middle_of_writes(tmp_path: Path) -> None:
+    """300 times in all, by several folders side by side."""
+    from concurrent.futures import ThreadPoolExecutor
+
+    with ThreadPoolExecutor(6) as pool:
+        told = list(pool.map(lambda n: kill_often(tmp_path / f"f{n}", 50, n), range(6)))
+    assert sum(t.kills for t in told) == 300
+    assert all(t.acknowledged > 0 and t.generations > 1 for t in told), told
+
+
+def test_two_writers_never_share_a_folder(tmp_path: Path) -> None:
+    one, other = OsFiles(tmp_path / "f"), OsFiles(tmp_path / "f")
+    one.make()
+    assert one.lock() and not other.lock()
+    one.unlock()
+    assert other.lock()
+    other.unlock()
+
+
+# ---------------------------------------------------------------------- the ledger
+
+
+def a_ledger(terms: LastingTerms = TERMS) -> tuple[Ledger, Scribe, SimFiles]:
+    files = SimFiles()
+    ledger = Ledger(terms, SECOND, 0, frozenset())
+    ledger.renew(bytes(16))
+    scribe = Scribe(Folder(files, Found(Sound.NEW)), "n1", "fleet")
+    return ledger, scribe, files
+
+
+def step(ledger: Ledger, scribe: Scribe, now_us: int) -> list[Any]:
+    work = ledger.turn(now_us)
+    return ledger.done(now_us, scribe.do(work)) if work is not None else []
+
+
+def test_answers_wait_for_the_disk_and_share_a_sync() -> None:
+    ledger, scribe, files = a_ledger()
+    step(ledger, scribe, 0)
+    for n in range(10):
+        ledger.hold(0, ledger.add(entry_of(n + 1)), n, n)
+    syncs = scribe.folder.syncs
+    work = ledger.turn(0)
+    assert work is not None and ledger.turn(0) is None
+    ledger.hold(0, ledger.add(entry_of(11)), "late", "late")
+    assert ledger.done(1000, scribe.do(work)) == list(range(10))
+    assert scribe.folder.syncs == syncs + 1
+    assert step(ledger, scribe, 2000) == ["late"]
+    assert last_of(read_folder(files).memory) == 11
+
+
+def test_a_slow_disk_drops_answers_and_a_failing_one_begins_a_generation() -> None:
+    ledger, scribe, files = a_ledger()
+    step(ledger, scribe, 0)
+    ledger.whole = lambda: list(everything(3))
+    ledger.hold(0, ledger.add(entry_of(1)), "a", "a")
+    work = ledger.turn(0)
+    assert work is not None
+    assert ledger.turn(SECOND + 1) is None and not ledger.able
+    assert ledger.done(2 * SECOND, scribe.do(work)) == []  # it was given up
+    assert ledger.able and ledger.dropped == 1
+
+    def full(what: str, name: str) -> None:
+        if what == "sync":
+            raise OSError(5, "Input/output error")
+
+    files.fault = full
+    ledger.hold(0, ledger.add(entry_of(2)), "b", "b")
+    assert step(ledger, scribe, 3 * SECOND) == [] and not ledger.able
+    position = ledger.add(entry_of(3))
+    assert not ledger.ready(position) and ledger.turn(3 * SECOND + 1) is None  # not at once
+    step(ledger, scribe, 5 * SECOND)
+    assert ledger.disk is Disk.FAILED
+    files.fault = lambda what, name: None
+    step(ledger, scribe, 7 * SECOND)
+    assert ledger.able and ledger.ready(position)
+    found = read_folder(files)
+    assert found.sound is Sound.SOUND and last_of(found.memory) == 3
+    assert [what for what, _ in ledger.notes] == [
+        "lasting-slow",
+        "lasting-able",
+        "lasting-failed",
+        "lasting-able",
+    ]
+
+
+def test_more_than_the_queue_bears_is_written_as_a_whole() -> None:
+    ledger, scribe, files = a_ledger(LastingTerms(folder="f", queue_mb=0.1))
+    step(ledger, scribe, 0)
+    ledger.whole = lambda: list(everything(4000))
+    for n in range(4000):
+        ledger.add(entry_of(n + 1))
+    assert len(ledger._entries) == 0
+    step(ledger, scribe, SECOND)
+    assert last_of(read_folder(files).memory) == 4000
+
+
+# ---------------------------------------------------------------------- older folders
+
+
+def stand(name: str, notes: list[e.Noted] | None = None) -> Standing:
+    def majority(names: set[str]) -> bool:
+        return len(names & {"n1", "n2", "n3"}) >= 2
+
+    noted = notes.append if notes is not None else (lambda note: None)
+    return Standing(name, lambda: ["n1", "n2", "n3"], majority, noted, 1000, lambda name: True)
+
+
+def asks(voter: Standing, others: dict[str, Standing], now_us: int) -> None:
+    for name, body in voter.turn(now_us):
+        if name in others and isinstance(body, Stand):
+            voter.told(name, others[name].hear("n1", body))
+
+
+def test_a_folder_is_gone_by_once_a_majority_knows_of_no_newer() -> None:
+    others = {"n2": stand("n2"), "n3": stand("n3")}
+    first = stand("n1")
+    first.take_up(Own("aa", 1, 1, 0, 0), False, {})
+    asks(first, others, 0)
+    asks(first, others, SECOND)
+    assert first.trust is Trust.LEARNED
+    assert first.own is not None
+    first.own.synced = 50
+    asks(first, others, 2 * SECOND)
+    assert first.known(50) and not first.known(51)
+
+    again = stand("n1")
+    again.take_up(Own("aa", 2, 2, 50, 50), True, {})
+    asks(again, {"n2": others["n2"]}, 3 * SECOND)
+    again.turn(3 * SECOND + 1)
+    assert not again.registered  # n3 lives, and may know more
+    again.turn(4 * SECOND)
+    again.turn(5 * SECOND + GRACE_US)
+    assert again.trust is Trust.TRUSTED
+
+    older = stand("n1")
+    older.take_up(Own("aa", 3, 2, 20, 20), True, {})  # the same life once more, from a backup
+    asks(older, {"n3": others["n3"]}, 9 * SECOND)
+    assert older.trust is Trust.OLD and older.why_old == "a later position is known"
+
+
+def test_asking_again_does_not_wipe_out_what_was_known() -> None:
+    """The answer to the first question may be lost; the second is to be told the same."""
+    other = stand("n2")
+    new = stand("n1")
+    new.take_up(Own("aa", 1, 5, 0, 0), False, {})
+    for at_us in (0, SECOND):
+        asks(new, {"n2": other}, at_us)
+    assert new.own is not None
+    new.own.synced = 80
+    asks(new, {"n2": other}, 2 * SECOND)
+    older = stand("n1")
+    older.take_up(Own("aa", 2, 6, 40, 40), True, {})
+    for at_us in (0, SECOND):
+        body = older.turn(at_us)[0][1]
+        assert isinstance(body, Stand)
+        answer = other.hear("n1", body)
+        assert answer.position == 80
+    older.told("n2", answer)
+    assert older.trust is Trust.OLD
+
+
+def test_a_voter_that_ran_without_a_folder_makes_its_old_one_older() -> None:
+    other = stand("n2")
+    first = stand("n1")
+    first.take_up(Own("aa", 1, 1, 0, 0), False, {})
+    for at_us in (0, SECOND):
+        asks(first, {"n2": other}, at_us)
+    other.forgot("n1", 77)
+    other.forgot("n1", 77)
+    again = stand("n1")
+    again.take_up(Own("aa", 3, 2, 10, 10), True, {})
+    asks(again, {"n2": other}, 2 * SECOND)
+    assert again.trust is Trust.OLD
+
+
+# ---------------------------------------------------------------------- beliefs
+
+
+def learned(number: int, ejected_until: int) -> i.Learned:
+    values: dict[str, Any] = dict.fromkeys(i.LEARNED, 0) | {"id": number, "started_us": 5, "limit": 8.0}
+    return i.Learned(**{**values, "ejected_until": ejected_until, "ejections": 2, "trial": True})
+
+
+def test_what_was_learned_counts_less_the_older_it_is() -> None:
+    now_us = 1_800_000_000 * SECOND
+    pace = tuple({"sends": 100.0, "succeeding": 0.5}.get(name, 1.0) for name in i.PACE)
+    told = i.Recalled((learned(1, now_us + 40 * SECOND), learned(2, 0)), pace, {"page-load": (3.0, 8)})
+    content = beliefs.pack(now_us, told, {1: "s-1", 2: "s-2"})
+    numbers = {"s-1": (1, 5), "s-2": (2, 6)}  # the second is another process by now
+    fresh = beliefs.unpack(content, now_us, 100.0, numbers)
+    assert fresh is not None and [b.id for b in fresh.backends] == [1]
+    assert fresh.backends[0].ejected_until == now_us + 40 * SECOND
+    later_us = now_us + 30 * SECOND
+    later = beliefs.unpack(content, later_us, 30.0, numbers)
+    assert later is not None
+    assert later.backends[0].ejected_until == now_us + 40 * SECOND  # never for longer than it was to be
+    assert later.backends[0].limit == 16.0
+    assert dict(zip(i.PACE, later.pace, strict=True))["sends"] == 50
+    assert later.class_load == {"page-load": (3.0, 4)}
+    assert beliefs.unpack(content, now_us + 300 * SECOND, 30.0, numbers) is None
+    # A clock that was set back by a year: how old that is, nobody knows.
+    assert beliefs.unpack(content, now_us - 31_536_000 * SECOND, 100.0, numbers) is None
+    assert beliefs.unpack(b"\x93\x01", now_us, 100.0, numbers) is None
+    assert beliefs.out_for(content, now_us + SECOND, 100.0)["s-1"] > 38 * SECOND
+
+
+# ---------------------------------------------------------------------- days, and the command
+
+
+@pytest.mark.parametrize("rule", ["sync", "generation", "folder"])
+def test_each_rule_of_folders_is_missed_when_it_is_off(rule: str) -> None:
+    plan = "lasting-all" if rule == "sync" else "lasting"
+    for seed in range(1, 20):
+        played = play_virtual(FaultDay(plan, seed, off=frozenset([rule])))
+        if any(c.value > 0 for c in played.checks):
+            return
+    pytest.fail(f"nothing is broken without {rule}")
+
+
+def cli(*words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "sailrun", "lasting", *words], capture_output=True, text=True
+    )
+
+
+def test_a_folder_is_shown_checked_exported_and_forgotten(tmp_path: Path) -> None:
+    folder = tmp_path / "kept"
+    files = OsFiles(folder)
+    files.make()
+    write(files, random.Random(1), lambda number: None, 20, frozenset())
+    shown = json.loads(cli("show", str(folder), "--json").stdout)
+    assert shown["sound"] == "sound" and shown["node"] == "n1" and shown["terms"]["task"] >= 19
+    assert "task" in cli("show", str(folder)).stdout
+    assert cli("check", str(folder)).returncode == 0
+    lines = [json.loads(line) for line in cli("export", str(folder)).stdout.splitlines()]
+    assert {"slot", "held", "copy"} <= {line["entry"] for line in lines}
+    journal = max(folder.glob("journal.*"))
+    data = bytearray(journal.read_bytes())
+    data[HEAD_BYTES + FRAME_BYTES] ^= 1
+    journal.write_bytes(data)
+    damaged = cli("check", str(folder))
+    assert damaged.returncode == 1 and "doubtful" in damaged.stdout, damaged
+    assert cli("forget", str(folder)).returncode == 2
+    assert cli("forget", str(folder), "--yes").returncode == 0
+    assert cli("check", str(folder)).stdout.strip().endswith("nothing was kept there yet")
+    missing = cli("show", str(tmp_path / "none"))
+    assert missing.returncode == 2 and missing.stderr.count("\n") == 1
+
+
+def test_a_hundred_thousand_records_are_read_whole() -> None:
+    files = SimFiles()
+    folder = Folder(files, Found(Sound.NEW))
+    folder.begin("n1", "fleet", bytes(16))
+    records: list[e.Entry] = [
+        e.Held(written(None, ("out", f"s-{n:08x}", ""), False, "", (1, n), b"x" * 60)) for n in range(100_000)
+    ]
+    folder.write(records)
+    folder.sync()
+    found = read_folder(files)
+    assert found.sound is Sound.SOUND and len(found.memory.records) == 100_000
