--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -45,9 +45,13 @@
 class Fleet:
     """Three nodes that are all voters; one form server and one node may be out at a time."""
 
-    def __init__(self, folder: Path, roster: Roster, stack: ExitStack, copies: bool = False) -> None:
-        """`copies`: with [replica], and without permits."""
+    def __init__(
+        self, folder: Path, roster: Roster, stack: ExitStack, copies: bool = False, lasting: bool = False
+    ) -> None:
+        """`copies`: with [replica], and without permits. `lasting`: each node has a folder of its own."""
         self._folder, self._roster, self._stack, self._copies = folder, roster, stack, copies
+        self._lasting = lasting
+        self._places: dict[str, tuple[Path, str]] = {}
         self.listens = {name: free() for name in ("n1", "n2", "n3")}
         self.nodes: dict[str, RunningNode] = {}
         self.operators: dict[str, Path] = {}
@@ -56,9 +60,19 @@
         tasks = ("marks" if copies else "permits", "roster/daejeon-1")
         self.until(lambda: all(self.owner(task) for task in tasks))
 
-    def start(self, name: str) -> None:
-        folder = self._folder / f"{name}-{len(self.nodes)}-{time.monotonic_ns()}"
-        folder.mkdir()
+    def folder_of(self, name: str) -> Path:
+        """What outlasts the node's processes."""
+        return self._folder / f"{name}-kept"
+
+    def replace(self, name: str) -> None:
+        """Starts another process beside the one that runs, which it succeeds."""
+        self.start(name, self._places[name])
+
+    def start(self, name: str, place: tuple[Path, str] | None = None) -> None:
+        if place is None:
+            place = self._folder / f"{name}-{len(self.nodes)}-{time.monotonic_ns()}", free()
+            place[0].mkdir()
+        self._places[name] = folder, listen = place
         tables = {
             "members": {
                 "enabled": True,
@@ -71,9 +85,11 @@
             "reader": {"enabled": True},
             "replica": {"enabled": self._copies, "sync_s": 0.2, "stale_s": 5.0},
         }
+        if self._lasting:
+            tables["lasting"] = {"folder": str(self.folder_of(name)), "idle_sync_s": 0.2}
         operator = self.operators[name] = folder / "operator.toml"
         operator.write_text(tomli_w.dumps(tables))
-        listen, control = free(), free()
+        control = free()
         running = node(folder, self._roster, operator=operator, name=name, listen=listen, control=control)
         self.nodes[name] = self._stack.enter_context(running)
 
