--- /dev/null
+++ b/benchmarks/lasting.py
@@ -0,0 +1,313 @@
+"""What a node's own folder costs, and what it holds after whatever befell it.
+
+`python benchmarks/lasting.py [PART...]`, on this machine's disk, below the working folder.
+
+Parts: `kill` (a writer killed over and over, thousands of times), `cut` (a disk in memory that loses its
+power at every step, by many seeds), `write` (acknowledged writes a second by 1, 10 and 100 writers, with
+shared syncs and with one each, beside what the disk syncs), `start` (a node's start with 100,000 records and
+without), `cost` (a core's part at 1,000 changes a second; bytes on the disk and written in an hour),
+`attempts` (at a form server known to be bad, in the first 10 s after a restart, with what was learned and
+without), `days` (virtual days).
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import tomli_w
+
+from sailrun import interface as i
+from sailrun import recollection
+from sailrun.lab.faults.days import occasions, sweep_days
+from sailrun.lab.faults.killing import cut_at, kill_often
+from sailrun.lab.faults.play import FaultDay
+from sailrun.lab.faults.rig import free_address
+from sailrun.lab.figures import quantile
+from sailrun.lab.terms import WorldTerms
+from sailrun.lasting import beliefs
+from sailrun.lasting import entries as e
+from sailrun.lasting.files import OsFiles
+from sailrun.lasting.folder import Folder, Found, Sound, read_folder
+from sailrun.lasting.ledger import Ledger
+from sailrun.lasting.scribe import Scribe
+from sailrun.lasting.terms import LastingTerms
+from sailrun.replica.marks import Mark, pack
+from sailrun.replica.records import mark_of, written
+
+SECOND = 1_000_000
+KILLS, FOR_S = 3000, 5.0
+RECORDS = 100_000
+
+
+def a_mark(number: int) -> e.Entry:
+    mark = Mark(f"m{number:016x}", True, False, "staff", "a new disk, back tonight", 1.8e9, "n1", [])
+    record = written(None, ("out", f"s-{number:08x}", ""), False, "", (1, number), pack(mark))
+    return e.Held(record, mark_of(record, b"census"))
+
+
+def _folder(path: Path, generation_mb: float = 64.0) -> tuple[Ledger, Scribe]:
+    files = OsFiles(path)
+    files.make()
+    ledger = Ledger(LastingTerms(folder=str(path), generation_mb=generation_mb), SECOND, 0, frozenset())
+    ledger.renew(os.urandom(16))
+    scribe = Scribe(Folder(files, Found(Sound.NEW)), "n1", "fleet")
+    work = ledger.turn(0)
+    assert work is not None
+    ledger.done(0, scribe.do(work))
+    return ledger, scribe
+
+
+def _shared(path: Path, writers: int) -> tuple[float, float]:
+    """Writers that each wait for the answer before the next write: acknowledged writes and syncs a second."""
+    ledger, scribe = _folder(path)
+    number = done = 0
+    waiting = list(range(writers))
+    syncs = scribe.folder.syncs
+    began = time.monotonic()
+    while time.monotonic() - began < FOR_S:
+        for writer in waiting:
+            number += 1
+            ledger.hold(0, ledger.add(a_mark(number)), writer, writer)
+        work = ledger.turn(0)
+        assert work is not None
+        waiting = ledger.done(0, scribe.do(work))
+        done += len(waiting)
+    took = time.monotonic() - began
+    return done / took, (scribe.folder.syncs - syncs) / took
+
+
+def _each(path: Path) -> float:
+    """One sync for each write."""
+    _, scribe = _folder(path)
+    number = 0
+    began = time.monotonic()
+    while time.monotonic() - began < FOR_S:
+        number += 1
+        scribe.folder.write([a_mark(number)])
+        scribe.folder.sync()
+    return number / (time.monotonic() - began)
+
+
+def _syncs(path: Path) -> float:
+    """What the disk syncs in a second: 200 bytes appended each time."""
+    fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+    count = 0
+    began = time.monotonic()
+    while time.monotonic() - began < FOR_S:
+        os.write(fd, bytes(200))
+        os.fdatasync(fd)
+        count += 1
+    os.close(fd)
+    return count / (time.monotonic() - began)
+
+
+def _start_s(path: Path, kept: bool, records: int) -> float:
+    """From `exec` until the node says that it serves."""
+    members, listen, discovery = (f"127.0.0.1:{free_address()[1]}" for _ in range(3))
+    told = {
+        "name": "n1",
+        "listen": listen,
+        "discovery": discovery,
+        "seed": "1",
+        "peers": [],
+        "known": {"revision": 1, "complete": True, "members": []},
+        "settings": WorldTerms(nodes=1, form_servers=1).settings(0),
+    }
+    (path / "config.json").write_text(json.dumps(told))
+    tables: dict[str, dict[str, object]] = {
+        "members": {"enabled": True, "name": "n1", "listen": members},
+        "owners": {"enabled": True, "voters": ["n1", "n2", "n3"]},
+        "replica": {"enabled": True, "records": max(100, 2 * records)},
+    }
+    if kept:
+        tables["lasting"] = {"folder": str(path / "kept")}
+    (path / "operator.toml").write_text(tomli_w.dumps(tables))
+    command = [sys.executable, "-m", "sailrun", "serve", "--config", str(path / "config.json")]
+    command += ["--operator", str(path / "operator.toml")]
+    began = time.monotonic()
+    with subprocess.Popen(command, stderr=subprocess.PIPE, text=True) as process:
+        assert process.stderr is not None
+        for line in process.stderr:
+            if " serving " in line:
+                took = time.monotonic() - began
+                process.kill()
+                return took
+    raise SystemExit("lasting.py: the node did not start")
+
+
+def _filled(path: Path, records: int) -> None:
+    files = OsFiles(path / "kept")
+    files.make()
+    folder = Folder(files, Found(Sound.NEW))
+    folder.begin("n1", "census", os.urandom(16))
+    held = [e.Copy(0, True), *(a_mark(n) for n in range(records))]
+    folder.write(held)
+    folder.turn_over(iter(held))
+    while not folder.go_on_with_snapshot():
+        pass
+    folder.close()
+
+
+def _cost(path: Path, per_s: int, for_s: float) -> tuple[float, float, float, int]:
+    """A core's part, changes a second, bytes written in an hour, and bytes on the disk at the end."""
+    ledger, scribe = _folder(path, 8.0)
+    marks = [a_mark(n) for n in range(5000)]
+    ledger.whole = lambda: marks
+    before, count = scribe.folder.written, 0
+    cpu, began = time.process_time(), time.monotonic()
+    while (now := time.monotonic()) - began < for_s:
+        due = int((now - began) * per_s)
+        while count < due:
+            ledger.add(marks[count % len(marks)])
+            count += 1
+        work = ledger.turn(int(now * SECOND))
+        if work is not None:
+            ledger.done(int(now * SECOND), scribe.do(work))
+            while scribe.idle():
+                pass
+        time.sleep(0.05)
+    took = time.monotonic() - began
+    share = (time.process_time() - cpu) / took
+    on_disk = sum(f.stat().st_size for f in path.iterdir())
+    return share, count / took, (scribe.folder.written - before) / took * 3600, on_disk
+
+
+def _attempts(kept: bool, away_s: float) -> tuple[int, int]:
+    """One of twenty form servers times every attempt out. A node finds out, restarts, and goes on for 10 s:
+    its attempts there, and households brought up at once.
+    """
+    from tests.support import Relay, full
+
+    def play(relay: Relay) -> int:
+        up = 0
+        for n in range(50):
+            names = [relay.ask(key=f"k{n % 7}-{m}", left_us=1_200_000) for m in range(12)]
+            relay.advance(20_000)
+            for name in names:
+                if name in relay.attempts and relay.attempts[name].backend != bad:
+                    relay.opened(name)
+            relay.advance(180_000)
+            up += sum(name in relay.attempts and relay.attempts[name].stands for name in names)
+        return up
+
+    bad = 7
+    first = Relay(seed=3)
+    first.feed(full(*range(1, 21)))
+    play(first)
+    names = {n: f"s-{n}" for n in range(1, 21)}
+    content = beliefs.pack(first.now, recollection.learned(first.balancer), names)
+    second = Relay(seed=4)
+    second.advance(first.now + int(away_s * SECOND) - second.now)
+    second.feed(full(*range(1, 21)))
+    if kept:
+        learned = beliefs.unpack(content, second.now, 120.0, {f"s-{n}": (n, 0) for n in range(1, 21)})
+        assert isinstance(learned, i.Recalled)
+        second.feed(learned)
+    up = play(second)
+    second.finish()
+    sends = [backend for promise in second.promises.values() for backend, _ in promise.sends]
+    return sends.count(bad), up
+
+
+def _cuts(seed: int) -> tuple[int, list[str]]:
+    found = [cut_at(step, seed) for step in range(1, 600)]
+    return len(found), [f for f in found if f]
+
+
+def _of_kills(place: Path) -> Iterator[str]:
+    jobs = os.cpu_count() or 1
+    folders = [place / f"kill-{n}" for n in range(jobs)]
+    with ProcessPoolExecutor(jobs) as pool:
+        told = list(pool.map(kill_often, folders, [KILLS // jobs] * jobs, range(100, 100 + jobs)))
+    kills, acknowledged = sum(t.kills for t in told), sum(t.acknowledged for t in told)
+    torn, generations = sum(t.torn for t in told), sum(t.generations for t in told)
+    yield f"kill   {kills} times, {acknowledged} entries acknowledged, {torn} torn ends: none lost"
+    yield f"kill   {generations} generations"
+
+
+def _of_cuts(place: Path) -> Iterator[str]:
+    with ProcessPoolExecutor() as pool:
+        cuts = list(pool.map(_cuts, range(1000, 1100)))
+    faults = [fault for _, found in cuts for fault in found]
+    yield f"cut    {2 * sum(n for n, _ in cuts)} power cuts: {faults[:3] or 'nothing lost'}"
+
+
+def _of_writes(place: Path) -> Iterator[str]:
+    yield f"write  the disk alone:             {_syncs(place / 'syncs'):8.0f} syncs a second"
+    for writers in (1, 10, 100):
+        rate, syncs = _shared(place / f"shared-{writers}", writers)
+        yield f"write  {writers:4} writers, shared syncs: {rate:8.0f} a second with {syncs:6.0f} syncs"
+    yield f"write  any writers, a sync each:   {_each(place / 'each'):8.0f} a second"
+
+
+def _of_starts(place: Path) -> Iterator[str]:
+    for records in (0, RECORDS):
+        folder = place / f"start-{records}"
+        folder.mkdir()
+        _filled(folder, records)
+        took, without = ([_start_s(folder, kept, records) for _ in range(5)] for kept in (True, False))
+        yield (
+            f"start  {records:6} records: {quantile(took, 0.5):.2f} s, without a folder "
+            f"{quantile(without, 0.5):.2f} s (medians of 5)"
+        )
+    began = time.process_time()
+    found = read_folder(OsFiles(place / f"start-{RECORDS}" / "kept"))
+    yield f"start  {len(found.memory.records)} records read in {time.process_time() - began:.2f} s of a core"
+
+
+def _of_cost(place: Path) -> Iterator[str]:
+    for per_s in (0, 10, 1000):
+        share, rate, hour, held = _cost(place / f"cost-{per_s}", per_s, 20.0)
+        yield (
+            f"cost   {rate:6.0f} changes a second: {100 * share:5.2f}% of a core, "
+            f"{hour / 1e6:8.1f} MB written an hour, {held / 1e6:6.2f} MB on the disk"
+        )
+
+
+def _of_attempts(place: Path) -> Iterator[str]:
+    for away_s in (0.5, 5.0, 20.0):
+        (without, up_without), (with_, up_with) = (_attempts(kept, away_s) for kept in (False, True))
+        yield (
+            f"attempts away for {away_s:4.1f} s: {without} without and {with_} with what was learned; "
+            f"brought up at once {up_without} and {up_with} of 600"
+        )
+
+
+def _of_days(place: Path) -> Iterator[str]:
+    for plan in ("lasting", "lasting-all", "lasting-walk"):
+        for nodes, seeds in ((5, range(5000, 5200)), (17, range(5000, 5020))):
+            day = FaultDay(plan, nodes=nodes)
+            sweep = sweep_days(day, "virtual", list(seeds), None, lambda share: None)
+            broken = [
+                (s.seed, c.name, c.faults[:1]) for s in sweep.summaries for c in s.checks if c.value > c.limit
+            ]
+            yield f"days   {plan} at {nodes} nodes, {len(seeds)} seeds: {broken or 'nothing broken'}"
+            yield from (f"days     {line}" for line in occasions(sweep))
+
+
+PARTS = {
+    "kill": _of_kills,
+    "cut": _of_cuts,
+    "write": _of_writes,
+    "start": _of_starts,
+    "cost": _of_cost,
+    "attempts": _of_attempts,
+    "days": _of_days,
+}
+
+if __name__ == "__main__":
+    unknown = [part for part in sys.argv[1:] if part not in PARTS]
+    if unknown:
+        raise SystemExit(f"lasting.py: no part '{unknown[0]}'")
+    with tempfile.TemporaryDirectory(prefix="lasting-", dir=".") as made:
+        for chosen in sys.argv[1:] or PARTS:
+            for told_line in PARTS[chosen](Path(made).resolve()):
+                print(told_line, flush=True)
--- a/sailrun/lasting/entries.py
+++ b/sailrun/lasting/entries.py
@@ -67,9 +67,13 @@
 
 
 class Held(msgspec.Struct, array_like=True, frozen=True, tag="held"):
-    """A record of the fleet's state, as this copy has it."""
+    """A record of the fleet's state, as this copy has it. `mark` is the hash that was taken when it came to
+    be so there (0: none is known): a copy whose bytes were spoilt in memory is found out after a restart as
+    well.
+    """
 
     record: Record
+    mark: int = 0
 
 
 class Dropped(msgspec.Struct, array_like=True, frozen=True, tag="dropped"):
@@ -146,12 +150,25 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Entry] = msgspec.msgpack.Decoder(Entry)
+_of_many: msgspec.msgpack.Decoder[list[Entry]] = msgspec.msgpack.Decoder(list[Entry])
 
 
 def pack(entry: Entry) -> bytes:
     return _encoder.encode(entry)
 
 
+def pack_many(entries: list[Entry]) -> bytes:
+    return _encoder.encode(entries)
+
+
+def unpack_many(data: bytes) -> list[Entry]:
+    """Raises ValueError for what are no entries of this schema."""
+    try:
+        return _of_many.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise ValueError(f"no entries: {error}") from None
+
+
 def unpack(data: bytes) -> Entry:
     """Raises ValueError for what is no entry of this schema."""
     try:
@@ -172,6 +189,7 @@
     votes: bool = False
     keeps: Keeps | None = None
     records: dict[Key, Record] = field(default_factory=dict)
+    marks: dict[Key, int] = field(default_factory=dict)  # by record, its hash where that is known
     epoch: int = 0
     whole: bool = False
     notes: dict[str, Noted] = field(default_factory=dict)
@@ -181,6 +199,10 @@
     plans: dict[str, Planned] = field(default_factory=dict)
 
     def apply(self, entry: Entry) -> None:
+        if isinstance(entry, Held):  # most are
+            key = entry.record.key
+            self.records[key], self.marks[key] = entry.record, entry.mark
+            return
         match entry:
             case Begun(life, wall_s):
                 self.life, self.clean, self.begun_s = life, False, wall_s
@@ -194,14 +216,14 @@
                 self.votes = remembers
             case Keeps():
                 self.keeps = entry
-            case Held(record):
-                self.records[record.key] = record
             case Dropped(key):
                 self.records.pop(key, None)
+                self.marks.pop(key, None)
             case Copy(epoch, whole, cleared):
                 self.epoch, self.whole = epoch, whole
                 if cleared:
                     self.records.clear()
+                    self.marks.clear()
             case Noted(voter):
                 self.notes[voter] = entry
             case Learned():
@@ -230,7 +252,7 @@
         yield Votes(self.votes)
         if self.keeps is not None:
             yield self.keeps
-        yield from (Held(record) for record in self.records.values())
+        yield from (Held(record, self.marks.get(key, 0)) for key, record in self.records.items())
         yield Copy(self.epoch, self.whole)
         yield from self.notes.values()
         if self.learned is not None:
--- a/sailrun/lasting/folder.py
+++ b/sailrun/lasting/folder.py
@@ -11,11 +11,14 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import secrets
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import chain, islice
 
 from sailrun.lasting import entries as e
 from sailrun.lasting.files import Files, Handle
@@ -33,13 +36,15 @@
     pack_head,
     read_head,
 )
+from sailrun.replica.records import size_of
 
 IDENTITY, NEW = "identity", ".new"
 LONGEST_IDENTITY = 4096
 # A folder of more bytes than this is not read.
 MOST_BYTES = 4 * 1024**3
-# Of a snapshot, so much is written between two looks at what else there is to write.
-SLICE = 256 * 1024
+# Of a snapshot, so many entries of so many bytes are a frame; between two frames there is a look at what else
+# there is to write.
+AT_ONCE, SLICE = 500, 256 * 1024
 
 
 class Sound(Enum):
@@ -100,6 +105,20 @@
     )
 
 
+@contextmanager
+def uncollected() -> Iterator[None]:
+    """While very many objects are made that all stay, looking through them for garbage again and again would
+    take as long as making them.
+    """
+    was = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if was:
+            gc.enable()
+
+
 def read_folder(files: Files) -> Found:
     """Reads all that is there. Nothing is written. Raises NewerSchema, or OSError where it cannot be read;
     what is damaged raises nothing, and makes the folder doubtful.
@@ -121,7 +140,8 @@
     try:
         if sum(files.size(n) for n in names) > MOST_BYTES:
             raise BadFile(f"over {MOST_BYTES} bytes")
-        _read_generations(files, found, journals, snapshots)
+        with uncollected():
+            _read_generations(files, found, journals, snapshots)
     except NewerSchema:
         raise
     except BadFile as error:
@@ -194,7 +214,7 @@
     goes_on = False
     frames = Frames(lambda offset, most: files.read(name, offset, most), head)
     for frame in frames:
-        if goes_on or frame.content is Content.END or frame.position != found.position + 1:
+        if goes_on or frame.content is not Content.ENTRY or frame.position != found.position + 1:
             if frame.content is Content.NEXT and not goes_on and frame.position == found.position:
                 goes_on = True
                 continue
@@ -222,10 +242,14 @@
         for frame in Frames(lambda offset, most: files.read(name, offset, most), head):
             if frame.content is Content.END:
                 return (memory, head.position, count) if frame.position == count else None
-            if frame.content is not Content.ENTRY or frame.position != count + 1:
+            if frame.content is not Content.MANY:
+                return None
+            many = e.unpack_many(frame.data)
+            count += len(many)
+            if frame.position != count:
                 return None
-            memory.apply(e.unpack(frame.data))
-            count += 1
+            for entry in many:
+                memory.apply(entry)
     except NewerSchema:
         raise
     except ValueError:
@@ -359,7 +383,7 @@
         """Whether a snapshot is being written."""
         return self._snapshot is not None
 
-    def turn_over(self, entries: Iterator[e.Entry]) -> None:
+    def turn_over(self, entries: Iterable[e.Entry]) -> None:
         """From here on another journal; `entries` are all that holds now, and are written as its snapshot by
         `go_on_with_snapshot`.
         """
@@ -370,41 +394,41 @@
         self._begin_journal(self._highest + 1, Kind.JOURNAL)
         self._begin_snapshot(entries)
 
-    def _begin_snapshot(self, entries: Iterator[e.Entry]) -> None:
+    def _begin_snapshot(self, entries: Iterable[e.Entry]) -> None:
         handle = self._files.create(f"snapshot.{self.generation}{NEW}")
         data = pack_head(Head(Kind.SNAPSHOT, self.generation, self.identity, self.position))
         handle.write(data)
         self.written += len(data)
-        self._snapshot = _Snapshot(self.generation, handle, entries, bytes=len(data))
+        self._snapshot = _Snapshot(self.generation, handle, iter(entries), bytes=len(data))
 
     def go_on_with_snapshot(self) -> bool:
         """Writes a part of it; whether it is done."""
         made = self._snapshot
         assert made is not None
-        parts: list[bytes] = []
+        many = list(islice(made.entries, AT_ONCE))
         size = 0
-        for entry in made.entries:
-            made.count += 1
-            frame = Frame(Content.ENTRY, made.count, self.firm, e.pack(entry))
-            parts.append(pack_frame(self.identity, made.generation, frame))
-            size += len(parts[-1])
-            if size >= SLICE:
-                break
-        else:
-            frame = Frame(Content.END, made.count, self.firm, b"")
-            parts.append(pack_frame(self.identity, made.generation, frame))
-            self._end_snapshot(made, b"".join(parts))
-            return True
-        self._put(made, b"".join(parts))
-        return False
-
-    def _put(self, made: _Snapshot, data: bytes) -> None:
+        for entry in many:
+            size += size_of(entry.record) if isinstance(entry, e.Held) else 0
+            if size > SLICE:  # long records go one by one
+                self._put(made, Content.MANY, many[:1])
+                made.entries = chain(many[1:], made.entries)
+                return False
+        if many:
+            self._put(made, Content.MANY, many)
+            return False
+        self._put(made, Content.END, [])
+        self._end_snapshot(made)
+        return True
+
+    def _put(self, made: _Snapshot, content: Content, many: list[e.Entry]) -> None:
+        made.count += len(many)
+        frame = Frame(content, made.count, self.firm, e.pack_many(many) if many else b"")
+        data = pack_frame(self.identity, made.generation, frame)
         made.handle.write(data)
         made.bytes += len(data)
         self.written += len(data)
 
-    def _end_snapshot(self, made: _Snapshot, data: bytes) -> None:
-        self._put(made, data)
+    def _end_snapshot(self, made: _Snapshot) -> None:
         made.handle.sync()
         made.handle.close()
         self.syncs += 1
@@ -420,7 +444,7 @@
                 if number < before:
                     self._files.remove(f"{word}.{number}")
 
-    def stand_anew(self, entries: Iterator[e.Entry], position: int) -> None:
+    def stand_anew(self, entries: Iterable[e.Entry], position: int) -> None:
         """After an error nothing that was not synced is known to be there: all that holds is written as a
         generation of its own, and read back before anybody goes by it.
         """
--- a/sailrun/lasting/frames.py
+++ b/sailrun/lasting/frames.py
@@ -12,12 +12,14 @@
     36  8  position: the last one before this journal, or that of the snapshot's state
     44  8  checksum of the 44 bytes before
 
-A frame, 32 bytes and its content:
+A frame, 40 bytes and its content:
 
     0   4  length of the content
-    4   4  of the content: 0 an entry, 1 "the next generation goes on", 2 the end of a snapshot
+    4   4  of the content: 0 an entry, 1 "the next generation goes on", 2 the end of a snapshot, 3 entries of
+    a
+           snapshot, as an array
     8   8  generation
-    16  8  position; in a snapshot, the frame's number
+    16  8  position; in a snapshot, how many entries there were up to the frame's end
     24  8  firm: up to which position everything was known to be on the disk when this was written
     32  8  checksum of the 32 bytes before and the content
     40  -  content
@@ -58,6 +60,7 @@
     ENTRY = 0
     NEXT = 1
     END = 2
+    MANY = 3
 
 
 class BadFile(ValueError):
--- a/sailrun/lasting/ledger.py
+++ b/sailrun/lasting/ledger.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -39,7 +39,7 @@
 
     position: int
     entries: list[Entry]
-    whole: list[Entry] | None = None
+    whole: Iterable[Entry] | None = None
     anew: bool = False
     identity: bytes = b""
 
@@ -60,7 +60,7 @@
         self.terms, self._slow_us, self._off = terms, slow_us, off
         self.position = self.synced = position
         self.disk = Disk.ABLE
-        self.whole: Callable[[], list[Entry]] = list
+        self.whole: Callable[[], Iterable[Entry]] = list
         self.notes: list[tuple[str, dict[str, object]]] = []  # for the log; emptied by whoever drives this
         self.dropped = 0  # answers that were never sent
         self.waited_us: list[int] = []  # how long answers waited, the latest ones; for the figures
--- a/sailrun/lasting/scribe.py
+++ b/sailrun/lasting/scribe.py
@@ -25,17 +25,17 @@
         try:
             if work.identity:
                 folder.begin(self._node, self._fleet, work.identity, work.position)
-                folder.stand_anew(iter(work.whole or ()), work.position)
+                folder.stand_anew(work.whole or (), work.position)
             elif work.anew or self._failed:
                 if work.whole is None:
                     raise OSError(errno.EIO, "waits to be written as a whole")
-                folder.stand_anew(iter(work.whole), work.position)
+                folder.stand_anew(work.whole, work.position)
             else:
                 folder.write(work.entries)
                 folder.sync()
                 if work.whole is not None:
                     self._finish()
-                    folder.turn_over(iter(work.whole))
+                    folder.turn_over(work.whole)
         except OSError as error:
             self._failed = True
             return Done(0, 0, error.strerror or str(error))
--- a/sailrun/lasting/service.py
+++ b/sailrun/lasting/service.py
@@ -9,7 +9,7 @@
 import contextlib
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -29,7 +29,7 @@
 from sailrun.node.clock import log
 from sailrun.node.passage import State
 from sailrun.node.session import RosterNews
-from sailrun.replica.marks import DRAIN, OUT, standing
+from sailrun.replica.marks import DRAIN, OUT, keeps_out
 
 if TYPE_CHECKING:
     from sailrun.node.core import Node
@@ -152,14 +152,14 @@
         """
         memory = self.found.memory
         out = frozenset(
-            r.subject for r in memory.records.values() if r.kind == OUT and not r.soft and standing(r).on
+            r.subject for r in memory.records.values() if r.kind == OUT and not r.soft and keeps_out(r)
         )
         drain = memory.records.get((DRAIN, self._name, ""))
         learned = None
         if memory.learned is not None:
             listed = {s.name: (s.number, s.started_us) for s in known.form_servers}
             learned = beliefs.unpack(memory.learned.content, now_us, self.terms.half_life_s, listed)
-        self.drains = drains and drain is not None and standing(drain).on
+        self.drains = drains and drain is not None and keeps_out(drain)
         by_hand = frozenset(memory.hand.out) if memory.hand is not None else frozenset()
         return State(known, out | by_hand, self.drains, learned)
 
@@ -168,7 +168,7 @@
         begun = e.Begun(self.found.memory.life + 1, time.time())
         self._hand = self.found.memory.hand
 
-        def whole() -> list[e.Entry]:
+        def whole() -> Iterable[e.Entry]:
             return [begun, *([self._hand] if self._hand is not None else []), *self.aside()]
 
         def done(done: Done) -> None:
--- a/sailrun/owners/agent.py
+++ b/sailrun/owners/agent.py
@@ -8,13 +8,15 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from itertools import chain
 from typing import Any
 
 import msgspec
 
 from sailrun.lasting import entries as e
+from sailrun.lasting.folder import uncollected
 from sailrun.lasting.ledger import Disk, Done
 from sailrun.lasting.messages import Stand, Stood
 from sailrun.lasting.standing import Own, Standing, Trust
@@ -229,7 +231,9 @@
             )
         if self.replica is not None and sound:
             if memory.whole:
-                left = self.replica.take_up(now_us, memory.records.values(), memory.epoch)
+                held = ((r, memory.marks[key]) for key, r in memory.records.items())
+                with uncollected():
+                    left = self.replica.take_up(now_us, held, memory.epoch)
                 self.notes.append(
                     ("copy-found", {"records": len(self.replica.store), "epoch": memory.epoch, "left": left})
                 )
@@ -240,19 +244,18 @@
         if votes and self.standing.trust is Trust.TRUSTED:
             self._trust(now_us)
 
-    def whole(self) -> list[e.Entry]:
-        """All that is to be known after a restart, as it is now."""
+    def whole(self) -> Iterable[e.Entry]:
+        """All that is to be known after a restart, as it is now: to be gone through once, wherever."""
         own, entries = self.standing.own, list[e.Entry]()
         if own is not None and self._lasting is not None:
             entries.append(e.Begun(own.life, self._lasting.wall_s))
         if self.voter is not None:
             entries += voter_entries(self.voter)
-        if self.replica is not None:
-            entries += replica_entries(self.replica)
         entries += self.standing.notes.values()
         entries += (e.Walked(walk) for walk in self.walks.done())
         entries += (e.Planned(*plan) for plan in self.walks.plans())
-        return [*entries, *self.aside()]
+        copied = replica_entries(self.replica) if self.replica is not None else []
+        return chain(entries, self.aside(), copied)
 
     def wrote(self, now_us: int, done: Done) -> list[Out]:
         """What became of the work of the disk; the answers that waited for it may go out."""
--- a/sailrun/owners/lasting.py
+++ b/sailrun/owners/lasting.py
@@ -5,8 +5,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from itertools import chain
 
 from sailrun.lasting import entries as e
 from sailrun.lasting.ledger import Ledger
@@ -40,8 +41,8 @@
     def _add(self, entry: e.Entry) -> int:
         return self.ledger.add(entry) if self.ledger is not None else 0
 
-    def record(self, record: Record) -> None:
-        self._add(e.Held(record))
+    def record(self, record: Record, mark: int) -> None:
+        self._add(e.Held(record, mark))
 
     def dropped(self, key: Key) -> None:
         self._add(e.Dropped(key))
@@ -92,8 +93,9 @@
     yield from (e.Floor(task, term) for task, term in voter.floors().items())
 
 
-def replica_entries(replica: Replica) -> Iterator[e.Entry]:
-    yield from (e.Held(r) for r in replica.store.sound() if not r.soft)
-    yield e.Copy(replica.sync.epoch, replica.sync.whole)
-    if replica.keeper is not None:
-        yield e.Keeps(*replica.keeper.state())
+def replica_entries(replica: Replica) -> Iterable[e.Entry]:
+    """As they are now; gone through later, and by another thread."""
+    state = [e.Copy(replica.sync.epoch, replica.sync.whole)]
+    keeps = [e.Keeps(*replica.keeper.state())] if replica.keeper is not None else []
+    held = replica.store.firm()
+    return chain(state, keeps, (e.Held(record, mark) for record, mark in held))
--- a/sailrun/owners/service.py
+++ b/sailrun/owners/service.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
+from anyio import to_thread
 
 from sailrun.config import NodeConfig, ServerRoster
 from sailrun.connection import split_address
@@ -94,8 +95,6 @@
         if lasting is not None:
             self.agent.aside = lasting.aside
             lasting.on_done = lambda done: self.carrier.post(lambda now_us: self.agent.wrote(now_us, done))
-            if lasting.open:
-                self._take_up(lasting)
 
     def roster(self, source: ServerRoster, revision: int) -> SharedRoster | None:
         """What the core has for a roster; None: the roster itself."""
@@ -126,11 +125,10 @@
         """Until cancelled, or given up. A fault in here leaves the node as it would be without a fleet."""
         try:
             async with anyio.create_task_group() as group:
-                if self._lasting is not None:
-                    if not self._lasting.open and await self._lasting.wait():
-                        self._take_up(self._lasting)
-                    if self._lasting.open:
-                        group.start_soon(self._lasting.run, self._node)
+                if self._lasting is not None and await self._lasting.wait():
+                    # Nothing else knows the agent yet, and a large copy takes its time.
+                    await to_thread.run_sync(self._take_up, self._lasting)
+                    group.start_soon(self._lasting.run, self._node)
                 await self.carrier.run()
                 group.cancel_scope.cancel()
         except Exception:
--- a/sailrun/replica/diary.py
+++ b/sailrun/replica/diary.py
@@ -8,8 +8,8 @@
 class Diary:
     """Keeps nothing. Each call states how something is from now on."""
 
-    def record(self, record: Record) -> None:
-        """This copy has the record so."""
+    def record(self, record: Record, mark: int) -> None:
+        """This copy has the record so; `mark` is its hash."""
 
     def dropped(self, key: Key) -> None:
         """The record is forgotten, as the fleet has decided."""
--- a/sailrun/replica/marks.py
+++ b/sailrun/replica/marks.py
@@ -33,8 +33,17 @@
     ids: list[str] = []
 
 
+class _Begins(msgspec.Struct, array_like=True, frozen=True):
+    """As much of a mark as says whether it keeps anything out."""
+
+    id: str
+    on: bool
+    waits: bool
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Mark)
+_begins = msgspec.msgpack.Decoder(_Begins)
 
 
 def pack(mark: Mark) -> bytes:
@@ -63,11 +72,22 @@
         return len({mark.on and not gone for mark, gone in self.words}) > 1
 
 
+def keeps_out(record: Record) -> bool:
+    """Whether its subject is out: out on one side and in on the other stays out."""
+    for version in record.versions:
+        if not version.gone:
+            try:
+                mark = _begins.decode(version.content)
+            except msgspec.MsgspecError:
+                continue  # of a version of the program whose marks this one cannot read
+            if mark.on and not mark.waits:
+                return True
+    return False
+
+
 def standing(record: Record) -> Standing:
-    """Out on one side and in on the other stays out."""
     words = tuple((m, v.gone) for v in record.versions if (m := unpack(v)) is not None)
-    on = any(mark.on and not mark.waits and not gone for mark, gone in words)
-    return Standing(record.kind, record.subject, on, words)
+    return Standing(record.kind, record.subject, keeps_out(record), words)
 
 
 def marks(store: Store) -> Iterator[Standing]:
@@ -78,4 +98,4 @@
 
 def in_force(store: Store) -> Iterable[tuple[str, str]]:
     """Kind and subject of all that is out of service by a mark."""
-    return ((s.kind, s.subject) for s in marks(store) if s.on)
+    return (r.key[:2] for kind in KINDS for r in store.records(kind) if keeps_out(r))
--- a/sailrun/replica/records.py
+++ b/sailrun/replica/records.py
@@ -138,9 +138,9 @@
 
 def size_of(record: Record) -> int:
     """What a record takes on the wire, about; in memory, some three times as much."""
-    return (
-        40
-        + sum(len(word) for word in record.key)
-        + sum(30 + len(v.actor) + len(v.content) for v in record.versions)
-        + sum(20 + len(actor) for actor in record.seen)
-    )
+    size = 40 + len(record.kind) + len(record.subject) + len(record.observer)
+    for version in record.versions:
+        size += 30 + len(version.actor) + len(version.content)
+    for actor in record.seen:
+        size += 20 + len(actor)
+    return size
--- a/sailrun/replica/replica.py
+++ b/sailrun/replica/replica.py
@@ -17,7 +17,7 @@
 from sailrun.owners.quorum import Voters
 from sailrun.replica.diary import Diary
 from sailrun.replica.keeper import Keeper
-from sailrun.replica.marks import KINDS, Mark, Standing, marks, pack, standing, unpack
+from sailrun.replica.marks import KINDS, Mark, Standing, in_force, keeps_out, marks, pack, unpack
 from sailrun.replica.messages import (
     Fetch,
     Fetched,
@@ -159,9 +159,9 @@
                 self.name, self._voters, self.store, self.sync, now_us, self._off, self._diary
             )
 
-    def take_up(self, now_us: int, records: Iterable[Record], epoch: int) -> int:
-        """A whole copy that outlasted the process. Its marks are in force until others tell more; returns how
-        many records there was no room for.
+    def take_up(self, now_us: int, records: Iterable[tuple[Record, int]], epoch: int) -> int:
+        """A whole copy that outlasted the process, with the records' hashes (0: not known). Its marks are in
+        force until others tell more; returns how many records there was no room for.
         """
         left = self.store.load(now_us, records)
         self.sync.take_up(epoch)
@@ -448,7 +448,7 @@
         if record.kind == LIST:
             self._lists.add(record.key)
         elif not record.soft:
-            self._diary.record(record)
+            self._diary.record(record, self.store.mark(record.key))
 
     def _write_lists(self, now_us: int) -> None:
         """Lists are long, change often, and are told again by the roster: the latest now and then."""
@@ -458,7 +458,7 @@
         while self._lists:
             record = self.store.get(self._lists.pop())
             if record is not None:
-                self._diary.record(record)
+                self._diary.record(record, self.store.mark(record.key))
 
     def _apply(self, now_us: int) -> None:
         """Notes what came into force. What a copy held that is taken anew stays so until it is whole."""
@@ -468,7 +468,7 @@
         if self._look_over:
             self._look_over = False
             self._touched.clear()
-            now_on = {(s.kind, s.subject) for s in marks(self.store) if s.on}
+            now_on = set(in_force(self.store))
             now_on |= {k[:2] for k in self.sync.lost if k[:2] in self._used}
             if self.sync.copies and self.level_us < 0:
                 # A copy just taken may be of a giver that is behind: what was out stays out until the owner
@@ -481,7 +481,7 @@
                 if key in self.sync.lost:
                     continue  # its bytes were spoilt: it stays as it is until it is had again
                 record = self.store.get(key)
-                on = record is not None and standing(record).on
+                on = record is not None and keeps_out(record)
                 (now_on.add if on else now_on.discard)(key[:2])
             self._touched.clear()
         else:
--- a/sailrun/replica/store.py
+++ b/sailrun/replica/store.py
@@ -180,27 +180,35 @@
         self._set(now_us, merged)
         return Took.NEW
 
-    def load(self, now_us: int, records: Iterable[Record]) -> int:
-        """Takes over many firm records at once, into an empty copy; returns how many were not taken: out of
-        bounds, or over what there is room for.
+    def mark(self, key: Key) -> int:
+        """The hash that was taken of a record when it came; 0: there is none."""
+        entry = self._entries.get(key)
+        return entry.mark if entry is not None else 0
+
+    def firm(self) -> list[tuple[Record, int]]:
+        """All firm records with their hashes, sound or not."""
+        return [(entry.record, entry.mark) for entry in self._entries.values() if not entry.record.soft]
+
+    def load(self, now_us: int, records: Iterable[tuple[Record, int]]) -> int:
+        """Takes over many firm records at once that a copy held before, into an empty one, with the hashes
+        taken then (0: taken now); returns how many there was no room for.
         """
         left = 0
-        for record in records:
-            try:
-                check(record)
-            except BadRecord:
-                left += 1
-                continue
-            if record.soft or self._full(record):
+        places: list[tuple[int, Key]] = []
+        room = 2 * self.terms.records, 2 * self.terms.megabytes * 1e6
+        for record, known in records:
+            size = size_of(record)
+            if len(self._entries) >= room[0] or self.bytes + size > room[1]:
                 left += 1
                 continue
-            mark, size = mark_of(record, self._salt), size_of(record)
+            mark = known or mark_of(record, self._salt)
             number = range_of(record.key, False)
             self._entries[record.key] = _Entry(record, mark, size, now_us)
             self._digests[number] = (self._digests[number] + mark) & _64
             self._counts[number] += 1
             self.bytes += size
-        self._order = SortedList((range_of(key, False), key) for key in self._entries)
+            places.append((number, record.key))
+        self._order = SortedList(places)
         self._keys = SortedList(self._entries)
         return left
 
