--- a/sailrun/lab/faults/nemesis.py
+++ b/sailrun/lab/faults/nemesis.py
@@ -448,7 +448,9 @@
     nemesis.every(5.0, 8.0, folders.some)
     nemesis.every(9.0, 14.0, lambda: nemesis.luck.choice((folders.slow_disk, folders.full))())
     for at_s in (7.0, 19.0, 31.0):
-        nemesis.at(at_s, folders.from_a_backup)
+        # One after another: two older folders at a time are more than a majority of three bears.
+        if at_s + 7.0 < nemesis.last_s:
+            nemesis.at(at_s, folders.from_a_backup)
     # An owner is struck, and comes back late enough for its folder to be older than what has been done since.
     nemesis.surely(15.0, lambda name: nemesis.kill_for(name, 2.0 * nemesis.lease_s))
 
