Part what outlasts a process out of the agent; undo three circles of imports

Seen on reading over: members that do not vote held back their copies for good where they have folders (a majority was waited for that nobody told); a folder that could not be locked at the start was written to later without a lock; an ending process waited half a second for an answer that nobody passed on; a node's own word was said before it was on the disk.

--- a/sailrun/amqp/households.py
+++ b/sailrun/amqp/households.py
@@ -17,7 +17,7 @@
 from sailrun.interface import Outcome
 from sailrun.node.clock import log
 from sailrun.node.core import Node
-from sailrun.node.passage import Take
+from sailrun.node.parcel import Take
 from sailrun.node.session import FormSession, Placement
 
 SECOND = 1_000_000
--- a/sailrun/cli.py
+++ b/sailrun/cli.py
@@ -11,7 +11,8 @@
 
 import typer
 
-from sailrun.config import BadConfig, NodeConfig, read_node_config
+from sailrun.bad_config import BadConfig
+from sailrun.config import NodeConfig, read_node_config
 
 app = typer.Typer(
     help="A node that places census form sessions on form servers.",
--- a/sailrun/config.py
+++ b/sailrun/config.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from sailrun import wire
+from sailrun.bad_config import BadConfig
 from sailrun.connection import split_address
 from sailrun.interface import Settings
 from sailrun.node.session import RosterNews
@@ -31,13 +32,6 @@
 }
 
 
-class BadConfig(ValueError):
-    """Names the file, the key and what is wrong with it."""
-
-    def __init__(self, path: Path, key: str, what: str) -> None:
-        super().__init__(f"{path}: {key}: {what}" if key else f"{path}: {what}")
-
-
 @dataclass(frozen=True, slots=True)
 class ServerRoster:
     """The server roster's own HTTP service."""
--- a/sailrun/lab/cli.py
+++ b/sailrun/lab/cli.py
@@ -195,7 +195,7 @@
 def _operators(path: Path | None) -> Any:
     if path is None:
         return None
-    from sailrun.config import BadConfig
+    from sailrun.bad_config import BadConfig
     from sailrun.operator import read_operator
 
     try:
--- a/sailrun/lab/virtual.py
+++ b/sailrun/lab/virtual.py
@@ -21,7 +21,8 @@
 from sailrun.lab.terms import SECOND, WorldTerms
 from sailrun.lab.world import GAP_US, RESTART_US, RosterBook, Slot, World
 from sailrun.node.core import Node
-from sailrun.node.passage import State, Take
+from sailrun.node.parcel import Take
+from sailrun.node.passage import State
 from sailrun.node.session import FormSession, Placement, RosterNews
 from sailrun.rebalance.balance import Elsewhere, Orders, Rebalancer
 from sailrun.rebalance.terms import RebalanceTerms
--- a/sailrun/lasting/files.py
+++ b/sailrun/lasting/files.py
@@ -113,6 +113,8 @@
 
     def lock(self) -> bool:
         """Whether the folder is this process's alone now; it is so until `unlock`, or the process's end."""
+        if self._lock >= 0:
+            return True
         fd = os.open(self.folder / self.LOCK, os.O_WRONLY | os.O_CREAT, 0o600)
         try:
             fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
--- a/sailrun/lasting/folder.py
+++ b/sailrun/lasting/folder.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import errno
 import gc
 import json
 import secrets
@@ -305,7 +306,7 @@
 
     def begin(self, node: str, fleet: str, identity: bytes, position: int = 0) -> None:
         """Begins a folder of this identity after that position. What was there is put aside, as `old-…`."""
-        self.close()
+        self._own()
         names = self._files.names()
         for name in [n for n in names if n.startswith("old-")]:
             self._files.remove(name)
@@ -448,7 +449,7 @@
         """After an error nothing that was not synced is known to be there: all that holds is written as a
         generation of its own, and read back before anybody goes by it.
         """
-        self.close()
+        self._own()
         self.position = position
         highest = max([self._highest, *_numbered(self._files.names(), "journal")])
         self._begin_journal(highest + 1, Kind.ALONE)
@@ -460,6 +461,12 @@
         if back.sound is not Sound.SOUND or back.position != position or back.generation != self.generation:
             raise OSError(None, f"what was written is not what is read: {back.why or 'another state'}")
 
+    def _own(self) -> None:
+        """A folder that could not be had at the start may be another process's by now."""
+        self.close()
+        if not self._files.lock():
+            raise OSError(errno.EBUSY, "in use by another process")
+
     def close(self) -> None:
         snapshot, self._snapshot = self._snapshot, None
         journal, self._journal = self._journal, None
--- a/sailrun/lasting/service.py
+++ b/sailrun/lasting/service.py
@@ -9,6 +9,7 @@
 import contextlib
 import threading
 import time
+import traceback
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -17,7 +18,7 @@
 from anyio import from_thread
 from anyio.lowlevel import current_token
 
-from sailrun.config import BadConfig
+from sailrun.bad_config import BadConfig
 from sailrun.lasting import beliefs
 from sailrun.lasting import entries as e
 from sailrun.lasting.files import OsFiles
@@ -93,8 +94,9 @@
         except (FileNotFoundError, NotADirectoryError) as error:
             raise BadConfig(self._files.folder, "lasting.folder", error.strerror or str(error)) from None
         except OSError as error:
+            # Served on without it. Whatever writes there later has to lock it first.
             log("lasting-failed", why=error.strerror or str(error))
-            return True  # served on without; the ledger tries again
+            return True
 
     def _read(self) -> None:
         """Reads the folder, and takes it over as far as it is sound."""
@@ -171,10 +173,7 @@
         def whole() -> Iterable[e.Entry]:
             return [begun, *([self._hand] if self._hand is not None else []), *self.aside()]
 
-        def done(done: Done) -> None:
-            self.ledger.done(self._clock_us(), done)
-
-        self.ledger.whole, self.on_done = whole, done
+        self.ledger.whole, self.on_done = whole, self._done_last
         self.ledger.add(begun)
 
     # ------------------------------------------------------------------ running
@@ -227,6 +226,9 @@
             log(what, **facts)
         self.ledger.notes.clear()
 
+    def _done_last(self, done: Done) -> None:
+        self.ledger.done(self._clock_us(), done)
+
     def _give(self, work: Work) -> None:
         with self._changed:
             self._work = work
@@ -246,13 +248,20 @@
                 work, self._work = self._work, None
                 if work is None and self._ends:
                     return
-            if work is not None:
-                told(self._scribe.do(work))
-            more = self._scribe.idle()
+            try:
+                if work is not None:
+                    told(self._scribe.do(work))
+                more = self._scribe.idle()
+            except Exception:  # a fault in here costs the vote, as a disk that fails does, and nothing else
+                log("fault", where="lasting", trace=traceback.format_exc())
+                more = False
+                if work is not None:
+                    told(Done(0, 0, "a fault of this program"))
 
     async def _end(self) -> None:
         """Writes what is left, unless the disk takes too long, and lets go of the folder."""
         until_us = self._clock_us() + LAST_US
+        self.on_done = self._done_last
         self.ledger.add(e.Ended(time.time()))
         while self._clock_us() < until_us and self.ledger.disk is Disk.ABLE:
             work = self.ledger.take(self._clock_us())
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -24,7 +24,8 @@
 from sailrun.node.counts import Counts, Figures
 from sailrun.node.hearsay import Believed, Hearsay
 from sailrun.node.leaving import Leaving, Reason
-from sailrun.node.passage import Held, State, Take
+from sailrun.node.parcel import Take
+from sailrun.node.passage import Held, State
 from sailrun.node.reply import Reply
 from sailrun.node.session import FormServer, FormSession, Placement, RosterNews, server_number
 from sailrun.node.tier import Tier
--- a/sailrun/node/passage.py
+++ b/sailrun/node/passage.py
@@ -2,12 +2,8 @@
 
 from __future__ import annotations
 
-import socket
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
-from typing import Any
-
-import anyio
+from collections.abc import Mapping
+from dataclasses import dataclass
 
 from sailrun.interface import Recalled
 from sailrun.node.session import RosterNews
@@ -31,23 +27,3 @@
     connections: int
     told: bool  # loads are us of work a second, not connections
     descriptors: int = 0
-
-
-@dataclass(slots=True, eq=False)
-class Parcel:
-    """A standing session on its way to the successor: its front's words for it, and its two sockets. They are
-    this process's too until `settled` is set: then, if it has `gone`, they are the successor's alone.
-    """
-
-    content: dict[str, Any]
-    sockets: tuple[socket.socket, ...]
-    settled: anyio.Event = field(default_factory=anyio.Event)
-    gone: bool = False
-
-    def settle(self, gone: bool) -> None:
-        if not self.settled.is_set():
-            self.gone = gone
-            self.settled.set()
-
-
-Take = Callable[[Parcel], None]  # sends a parcel, and has it settled whatever comes
--- a/sailrun/node/session.py
+++ b/sailrun/node/session.py
@@ -12,7 +12,7 @@
 from sailrun.interface import Backend, BackendState, Cause, ListKind
 
 if TYPE_CHECKING:
-    from sailrun.node.passage import Take
+    from sailrun.node.parcel import Take
 
 
 @lru_cache(maxsize=8192)
--- a/sailrun/operator.py
+++ b/sailrun/operator.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from sailrun.config import BadConfig
+from sailrun.bad_config import BadConfig
 from sailrun.connection import split_address
 from sailrun.lasting.terms import LastingTerms
 from sailrun.members.terms import MembersTerms
--- a/sailrun/owners/agent.py
+++ b/sailrun/owners/agent.py
@@ -8,23 +8,20 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from itertools import chain
 from typing import Any
 
 import msgspec
 
-from sailrun.lasting import entries as e
-from sailrun.lasting.folder import uncollected
-from sailrun.lasting.ledger import Disk, Done
+from sailrun.lasting.ledger import Done
 from sailrun.lasting.messages import Stand, Stood
-from sailrun.lasting.standing import Own, Standing, Trust
 from sailrun.members.messages import Joined, MemberBody, Record, Refused, State
 from sailrun.members.swim import Change, Letter, Members
 from sailrun.members.terms import MembersTerms
+from sailrun.owners.backing import Backing
 from sailrun.owners.envelope import MOST_CLAIMS, MOST_NEWS, Body, Envelope
-from sailrun.owners.lasting import Book, Lasting, known_slots, replica_entries, voter_entries
+from sailrun.owners.lasting import Lasting
 from sailrun.owners.messages import (
     Ask,
     Deny,
@@ -49,7 +46,6 @@
 from sailrun.owners.terms import DRIFT, OwnersTerms, PermitsTerms, ReaderTerms
 from sailrun.owners.voter import Voter
 from sailrun.owners.walk import Walks
-from sailrun.replica.messages import Kept, Promised, Recovering
 from sailrun.replica.replica import MARKS, Replica
 from sailrun.replica.terms import ReplicaTerms
 
@@ -60,12 +56,6 @@
 CLAIM_TIMES = 30
 # So many questions wait for answers at a time; the oldest make room.
 MOST_QUESTIONS = 4096
-# Promises that wait for other voters to note them; the oldest make room.
-MOST_UNTOLD = 1000
-# What a voter answers and is held to after a restart: sent once what it rests on is on the disk.
-_PROMISES = (Grant, Promised, Kept, Recovering, Recalled, Stood)
-# Of these, what a folder without them would be too old for: a majority is told how far it has come, before.
-_TOLD = (Grant, Promised, Kept, Recovering)
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,27 +117,20 @@
         record: Callable[..., None] = lambda kind, **facts: None,
     ) -> None:
         self.terms, self._off, self._act = terms, off, record
-        self._book = Book()
-        self._lasting: Lasting | None = None
-        # What else is to be known after a restart; told by whoever drives this.
-        self.aside: Callable[[], list[e.Entry]] = list
-        self._untold: list[tuple[int, str, Body]] = []  # promises that wait for a majority to know of them
-        self._begun_at = 0  # the entry that says in which life of the folder this process is
-        self._trusted = Trust.LEARNS
         chance = random.Random(seed)
         self.members = Members(me, terms.members, chance.getrandbits(32), now_us)
         self.name, self.life, self.zone = me.name, me.life, me.zone
         self.voters = Voters(terms.owners, off)
         self._founding = founding
         self.tenures = Tenures(me.name, self.voters, terms.owners, chance.getrandbits(32), now_us, off)
-        self.standing = self._new_standing(me.life)
+        self.backing = Backing(
+            me.name, me.life, lambda: self.voters, lambda name: self.members.lives(name), record, off
+        )
         self.voter = self._new_voter(now_us) if me.name in self.voters.all() else None
         self.holder = PermitHolder(terms.permits) if terms.permits.enabled else None
         self.walks = Walks(me.name, self.holder)
-        self.walks.on_end, self.walks.on_plan = self._book.walked, self._book.planned
-        self.walks.on_done = lambda walk: self._act("walked", walk=walk)
-        self.walks.safe = lambda at: self._lasting is None or self._lasting.ledger.ready(at)
         self.replica = self._new_replica(chance.getrandbits(32), now_us) if terms.replica.enabled else None
+        self.backing.serve(lambda: self.voter, self.replica, self.walks)
         self.office: PermitOffice | None = None
         # Work that others do: who answers questions about a task, asked with the asker's name and content.
         self.answers: dict[str, Callable[[int, str, Any], Any]] = {}
@@ -166,24 +149,9 @@
 
     def _new_voter(self, now_us: int) -> Voter:
         voter = Voter(self.name, self.voters, self.terms.owners, now_us, self._founding, self._off)
-        voter.write_slot, voter.write_floor = self._book.slot, self._book.floor
-        voter.write_votes = self._book.votes
-        voter.on_founded = lambda: self._act("founded", what="terms")
-        voter.registered = lambda: self.standing.registered
-        voter.able = lambda: self._lasting is None or self._lasting.ledger.able
+        self.backing.back(voter)
         return voter
 
-    def _new_standing(self, run: int) -> Standing:
-        return Standing(
-            self.name,
-            lambda: self.voters.all(),
-            lambda names: self.voters.majority(names),
-            self._book.noted,
-            (run & 0xFFFFFFFF) << 20,
-            lambda name: self.members.lives(name),
-            self._off,
-        )
-
     def _new_replica(self, seed: int, now_us: int) -> Replica:
         def limit(kind: str) -> int | None:
             permits = self.terms.permits
@@ -201,148 +169,24 @@
             now_us,
             self._off,
             self._act,
-            self._book,
+            self.backing.book,
         )
 
     # ------------------------------------------------------------------ what outlasts the process
 
     def take_up(self, now_us: int, lasting: Lasting) -> None:
-        """Goes by a folder, as far as that can be: before the first turn. Who votes asks the other voters
-        whether they know of a newer one, and grants nothing before.
-        """
-        self._lasting, memory = lasting, lasting.memory
-        ledger = self._book.ledger = lasting.ledger
-        ledger.whole = self.whole
-        life = memory.life + 1
-        own = Own(lasting.identity, self.life, life, lasting.loaded, ledger.synced)
-        sound, votes = lasting.sound, lasting.sound and memory.votes
-        self.standing.take_up(own, votes, memory.notes)
-        self._trusted = self.standing.trust
-        self._begun_at = self._book.begun(life, lasting.wall_s)
-        if self.voter is not None:
-            if votes:
-                self.voter.take_up(now_us, known_slots(memory), memory.floors)
-            else:
-                for task, term in memory.highest().items():
-                    self.voter.heard_of(task, term)
-        if sound:
-            self.walks.take_up(
-                now_us, memory.walks, [(p.walk, p.for_us, p.names) for p in memory.plans.values()]
-            )
-        if self.replica is not None and sound:
-            if memory.whole:
-                held = ((r, memory.marks[key]) for key, r in memory.records.items())
-                with uncollected():
-                    left = self.replica.take_up(now_us, held, memory.epoch)
-                self.notes.append(
-                    ("copy-found", {"records": len(self.replica.store), "epoch": memory.epoch, "left": left})
-                )
-            keeper = self.replica.keeper
-            if keeper is not None and memory.keeps is not None:
-                keeps = memory.keeps
-                keeper.take_up(keeps.life, keeps.promised, keeps.lives, keeps.remembers, votes)
-        if votes and self.standing.trust is Trust.TRUSTED:
-            self._trust(now_us)
-
-    def whole(self) -> Iterable[e.Entry]:
-        """All that is to be known after a restart, as it is now: to be gone through once, wherever."""
-        own, entries = self.standing.own, list[e.Entry]()
-        if own is not None and self._lasting is not None:
-            entries.append(e.Begun(own.life, self._lasting.wall_s))
-        if self.voter is not None:
-            entries += voter_entries(self.voter)
-        entries += self.standing.notes.values()
-        entries += (e.Walked(walk) for walk in self.walks.done())
-        entries += (e.Planned(*plan) for plan in self.walks.plans())
-        copied = replica_entries(self.replica) if self.replica is not None else []
-        return chain(entries, self.aside(), copied)
+        """Goes by a folder, as far as that can be: before the first turn."""
+        self.backing.take_up(now_us, lasting)
 
     def wrote(self, now_us: int, done: Done) -> list[Out]:
         """What became of the work of the disk; the answers that waited for it may go out."""
-        assert self._lasting is not None
         self._now_us = now_us
-        ledger = self._lasting.ledger
-        answers = ledger.done(now_us, done)
-        outs: list[Out] = []
-        for name, body in answers:
-            if isinstance(body, _TOLD) and "generation" not in self._off:
-                self._untold = [*self._untold[-MOST_UNTOLD:], (ledger.synced, name, body)]
-                continue
-            if isinstance(body, _TOLD):
-                self._act("promised", position=ledger.synced)
-            outs += self._deliver(name, body)
-        if self._untold and self.standing.own is not None:
-            # Something is promised: a majority is to know how far the folder has come.
-            self.standing.own.synced = ledger.synced
-            outs += self._posts(self.standing.tell(now_us))
+        outs = self._backed(*self.backing.wrote(now_us, done))
         return outs + self._changes(now_us)
 
-    def _told_enough(self) -> list[Out]:
-        """Sends what was promised, as far as a majority knows that the folder has it."""
-        ready = [(name, body) for position, name, body in self._untold if self.standing.known(position)]
-        if ready:
-            latest = max(position for position, _, _ in self._untold if self.standing.known(position))
-            self._act("promised", position=latest)
-        self._untold = [u for u in self._untold if not self.standing.known(u[0])]
-        return [out for name, body in ready for out in self._deliver(name, body)]
-
-    def _turn_standing(self, now_us: int) -> list[Out]:
-        lasting, standing = self._lasting, self.standing
-        if lasting is None or standing.own is None or self.voter is None or not self._may_ask(lasting):
-            return []
-        life = standing.own.life
-        outs = self._posts(standing.turn(now_us))
-        self._stood(now_us, life)
-        return outs
-
-    def _stood(self, now_us: int, life: int) -> None:
-        """Acts on what became of the comparison of folders."""
-        standing, lasting = self.standing, self._lasting
-        if lasting is None or standing.own is None:
-            return
-        if standing.trust is not self._trusted:
-            self._trusted = standing.trust
-            if standing.trust is Trust.TRUSTED:
-                self._trust(now_us)
-            elif standing.trust is Trust.OLD:
-                self._forget(now_us, lasting)
-            elif standing.trust is Trust.LEARNED:
-                self._act("folder", what="learned")
-        if standing.own.life != life:
-            self._begun_at = self._book.begun(standing.own.life, lasting.wall_s)
-
-    def _trust(self, now_us: int) -> None:
-        """Nobody knows of a newer folder: this voter votes, and has forgotten nothing."""
-        assert self._lasting is not None
-        if self.voter is not None:
-            self.voter.trust()
-        keeper = self.replica.keeper if self.replica is not None else None
-        if keeper is not None and keeper.may_remember:
-            keeper.trust()
-        self._act("folder", what="trusted")
-        self.notes.append(("lasting-trusted", {"life": self.standing.own.life if self.standing.own else 0}))
-
-    def _forget(self, now_us: int, lasting: Lasting) -> None:
-        """The folder is older than what the fleet knows: another is begun, and this voter learns from the
-        others what it may have promised.
-        """
-        standing = self.standing
-        known = standing.newest
-        lasting.identity = lasting.new_identity()
-        standing.begin_anew(lasting.identity)
-        self._trusted = standing.trust
-        lasting.ledger.renew(bytes.fromhex(lasting.identity))
-        if self.voter is not None:
-            self.voter.forget(now_us)
-        keeper = self.replica.keeper if self.replica is not None else None
-        if keeper is not None:
-            keeper.may_remember = False
-            keeper.restart(now_us)
-        facts = {"why": standing.why_old, "loaded": lasting.loaded}
-        if known is not None:
-            facts |= {"known_life": known.life, "known_position": known.position}
-        self._act("folder", what="old", why=standing.why_old)
-        self.notes.append(("lasting-old", facts))
+    def _backed(self, answers: Any, posts: Any) -> list[Out]:
+        """Answers were held back as long as they had to be."""
+        return [out for name, body in answers for out in self._deliver(name, body)] + self._posts(posts)
 
     # ------------------------------------------------------------------ who may own what
 
@@ -440,13 +284,9 @@
                 return self._post(sender, self.walks.asked(now_us, body))
             case Walking():
                 self.walks.told(now_us, sender, body)
-            case Stand() if sender in self.voters.all():
-                return self._post(sender, self.standing.hear(sender, body))
-            case Stood():
-                life = self.standing.own.life if self.standing.own is not None else 0
-                self.standing.told(sender, body)
-                self._stood(now_us, life)
-                return self._told_enough() if self._untold else []
+            case Stand() | Stood():
+                if sender in self.voters.all():
+                    return self._backed(*self.backing.heard(now_us, sender, body))
             case _:
                 if self.replica is not None and self.members.joined:
                     return self._posts(self.replica.hear(now_us, sender, body))
@@ -465,7 +305,7 @@
             case Release():
                 voter.released(sender, life, body)
             case Recall():
-                self.standing.forgot(sender, life)
+                self.backing.standing.forgot(sender, life)
                 return self._post(sender, voter.recall(body))
             case Recalled():
                 voter.told(now_us, sender, body)
@@ -587,20 +427,15 @@
             due_us = min(due_us, self.holder.due_us(now_us))
         if self.replica is not None:
             due_us = min(due_us, self.replica.due_us(now_us))
-        if self._lasting is not None and self.voter is not None and self._may_ask(self._lasting):
-            due_us = min(due_us, self.standing.due_us() or due_us)
-        return due_us
-
-    def _may_ask(self, lasting: Lasting) -> bool:
-        """That this process has the folder is to be on the disk before anybody hears of it."""
-        return not self.standing.asking or lasting.ledger.ready(self._begun_at)
+        backing_us = self.backing.due_us()
+        return due_us if backing_us is None else min(due_us, backing_us)
 
     def turn(self, now_us: int) -> list[Out]:
         self._now_us = now_us
         outs = self._mail(self.members.turn(now_us))
         if self.voter is not None and self.members.joined:
             outs += self._posts(self.voter.turn(now_us))
-            outs += self._turn_standing(now_us)
+            outs += self._posts(self.backing.turn(now_us))
         if self.members.joined and not self.members.leaving:
             outs += self._turn_tenures(now_us)
         for number, asked in list(self._questions.items()):
@@ -668,8 +503,6 @@
                 self.voter = None
             elif self.voter is None:
                 self.voter = self._new_voter(now_us)
-                # What its folder has of another time as a voter may not be all.
-                self.standing.trust = self._trusted = Trust.LEARNS
             else:
                 self.voter.voters = self.voters
             if self.replica is not None:
@@ -689,6 +522,7 @@
             if tenure.until_us and self._acted.get(task) != tenure.until_us:
                 self._acted[task] = tenure.until_us
                 self._act("hold", task=task, term=tenure.term, until_us=tenure.until_us)
+        self.notes += self._emptied(self.backing.notes)
         if self.holder is not None:
             for use in self._emptied(self.holder.uses):
                 if not use.yes:
@@ -760,16 +594,8 @@
 
     def _post(self, name: str, body: Body, guard: tuple[str, int] | None = None) -> list[Out]:
         """To a member by name; a promise is held until the disk has what it rests on."""
-        if self._lasting is not None and isinstance(body, _PROMISES):
-            ledger = self._lasting.ledger
-            position = ledger.position
-            if isinstance(body, Grant) and self.voter is not None:
-                position = self.voter.position(body.task)  # a renewal rests on the grant alone
-            if not ledger.ready(position):
-                if ledger.disk is Disk.ABLE:
-                    key = (name, type(body), body.term if isinstance(body, Grant) else body.number)
-                    ledger.hold(self._now_us, position, key, (name, body))
-                return []
+        if self.backing.keeps_back(self._now_us, name, body):
+            return []
         return self._deliver(name, body, guard)
 
     def _deliver(self, name: str, body: Body, guard: tuple[str, int] | None = None) -> list[Out]:
--- /dev/null
+++ b/sailrun/owners/backing.py
@@ -0,0 +1,287 @@
+"""What of a member outlasts its process: promises are held back until its folder has what they rest on and a
+majority knows so, and a voter goes by its folder once the others know of no newer one.
+
+Pure. The ledger knows what is on the disk (`lasting/ledger.py`), the standing what other voters know of this
+folder and of theirs (`lasting/standing.py`).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from itertools import chain
+from typing import Any
+
+import msgspec
+
+from sailrun.lasting import entries as e
+from sailrun.lasting.folder import uncollected
+from sailrun.lasting.ledger import Disk, Done
+from sailrun.lasting.messages import Stand, Stood
+from sailrun.lasting.standing import Own, Standing, Trust
+from sailrun.owners.lasting import Book, Lasting, known_slots, replica_entries, voter_entries
+from sailrun.owners.messages import Grant, Recalled
+from sailrun.owners.quorum import Voters
+from sailrun.owners.voter import Voter
+from sailrun.owners.walk import Walks
+from sailrun.replica.messages import Kept, Promised, Recovering
+from sailrun.replica.replica import Replica
+
+Post = tuple[str, msgspec.Struct]
+# What a voter answers and is held to after a restart: sent once what it rests on is on the disk.
+PROMISES = (Grant, Promised, Kept, Recovering, Recalled, Stood)
+# Of these, what a folder without them would be too old for: a majority is told how far it has come, before.
+TOLD = (Grant, Promised, Kept, Recovering)
+# Promises that wait for other voters to note them; the oldest make room.
+MOST_UNTOLD = 1000
+
+
+class Backing:
+    """`run` is this process's own number. `record` is told every act, for the laboratory's checks."""
+
+    def __init__(
+        self,
+        name: str,
+        run: int,
+        voters: Callable[[], Voters],
+        lives: Callable[[str], bool],
+        record: Callable[..., None],
+        off: frozenset[str] = frozenset(),
+    ) -> None:
+        self._run, self._act, self._off = run, record, off
+        self.book = Book()
+        self.notes: list[tuple[str, dict[str, object]]] = []  # for the log; emptied by whoever drives this
+        # What else is to be known after a restart; told by whoever drives this.
+        self.aside: Callable[[], list[e.Entry]] = list
+        self.standing = Standing(
+            name,
+            lambda: voters().all(),
+            lambda names: voters().majority(names),
+            self.book.noted,
+            (run & 0xFFFFFFFF) << 20,
+            lives,
+            off,
+        )
+        self._lasting: Lasting | None = None
+        self._voter: Callable[[], Voter | None] = lambda: None
+        self._replica: Replica | None = None
+        self._walks: Walks | None = None
+        self._untold: list[tuple[int, str, Any]] = []  # promises that wait for a majority to know of them
+        self._begun_at = 0  # the entry that says in which life of the folder this process is
+        self._trusted = Trust.LEARNS
+
+    # ------------------------------------------------------------------ whom it is for
+
+    def serve(self, voter: Callable[[], Voter | None], replica: Replica | None, walks: Walks) -> None:
+        """The parts whose state outlasts the process; who votes may change."""
+        self._voter, self._replica, self._walks = voter, replica, walks
+        walks.on_end, walks.on_plan = self.book.walked, self.book.planned
+        walks.on_done = lambda walk: self._act("walked", walk=walk)
+        walks.safe = self.ready
+
+    def back(self, voter: Voter) -> None:
+        """A voter that has just been made writes down what it promises."""
+        voter.write_slot, voter.write_floor = self.book.slot, self.book.floor
+        voter.write_votes = self.book.votes
+        voter.on_founded = lambda: self._act("founded", what="terms")
+        voter.registered = lambda: self.standing.registered
+        voter.able = lambda: self._lasting is None or self._lasting.ledger.able
+        # What a folder has of another time as a voter may not be all: `take_up` comes after.
+        self.standing.trust = self._trusted = Trust.LEARNS
+
+    def ready(self, position: int) -> bool:
+        """Whether everything up to that entry is on the disk, if there is any."""
+        return self._lasting is None or self._lasting.ledger.ready(position)
+
+    # ------------------------------------------------------------------ beginning
+
+    def take_up(self, now_us: int, lasting: Lasting) -> None:
+        """Goes by a folder, as far as that can be: before the first turn. Who votes asks the other voters
+        whether they know of a newer one, and grants nothing before.
+        """
+        self._lasting, memory, sound = lasting, lasting.memory, lasting.sound
+        votes = sound and memory.votes
+        ledger = self.book.ledger = lasting.ledger
+        ledger.whole = self.whole
+        own = Own(lasting.identity, self._run, memory.life + 1, lasting.loaded, ledger.synced)
+        self.standing.take_up(own, votes, memory.notes)
+        self._trusted = self.standing.trust
+        self._begun_at = self.book.begun(own.life, lasting.wall_s)
+        voter = self._voter()
+        if voter is not None and votes:
+            voter.take_up(now_us, known_slots(memory), memory.floors)
+        elif voter is not None:
+            for task, term in memory.highest().items():
+                voter.heard_of(task, term)
+        if sound and self._walks is not None:
+            plans = [(p.walk, p.for_us, p.names) for p in memory.plans.values()]
+            self._walks.take_up(now_us, memory.walks, plans)
+        if sound and self._replica is not None:
+            self._take_up_copy(now_us, self._replica, memory, votes)
+        if self.standing.trust is Trust.TRUSTED:
+            self._trust()
+
+    def _take_up_copy(self, now_us: int, replica: Replica, memory: e.Memory, votes: bool) -> None:
+        if memory.whole:
+            held = ((r, memory.marks[key]) for key, r in memory.records.items())
+            with uncollected():
+                left = replica.take_up(now_us, held, memory.epoch)
+            facts: dict[str, object] = {"records": len(replica.store), "epoch": memory.epoch}
+            self.notes.append(("copy-found", {**facts, "left": left or None}))
+        if replica.keeper is not None and memory.keeps is not None:
+            keeps = memory.keeps
+            replica.keeper.take_up(keeps.life, keeps.promised, keeps.lives, keeps.remembers, votes)
+
+    def whole(self) -> Iterable[e.Entry]:
+        """All that is to be known after a restart, as it is now: to be gone through once, wherever."""
+        own, voter, entries = self.standing.own, self._voter(), list[e.Entry]()
+        if own is not None and self._lasting is not None:
+            entries.append(e.Begun(own.life, self._lasting.wall_s))
+        if voter is not None:
+            entries += voter_entries(voter)
+        entries += self.standing.notes.values()
+        if self._walks is not None:
+            entries += (e.Walked(walk) for walk in self._walks.done())
+            entries += (e.Planned(*plan) for plan in self._walks.plans())
+        copied = replica_entries(self._replica) if self._replica is not None else []
+        return chain(entries, self.aside(), copied)
+
+    # ------------------------------------------------------------------ promises
+
+    def keeps_back(self, now_us: int, name: str, body: Any) -> bool:
+        """Whether a message is held until the disk has what it rests on; where that fails, it never goes."""
+        if self._lasting is None or not isinstance(body, PROMISES):
+            return False
+        ledger, voter = self._lasting.ledger, self._voter()
+        position = ledger.position
+        if isinstance(body, Grant) and voter is not None:
+            position = voter.position(body.task)  # a renewal rests on the grant alone
+        if ledger.ready(position):
+            return False
+        if ledger.disk is Disk.ABLE:
+            key = (name, type(body), body.term if isinstance(body, Grant) else body.number)
+            ledger.hold(now_us, position, key, (name, body))
+        return True
+
+    def when_kept(self, now_us: int, call: Callable[[bool], None]) -> None:
+        """Calls with whether all that was written so far is on the disk: once it is, or at once where there
+        is none, or it fails.
+        """
+        ledger = self._lasting.ledger if self._lasting is not None else None
+        if ledger is None or ledger.ready(ledger.position):
+            call(True)
+        elif ledger.disk is not Disk.ABLE:
+            call(False)
+        else:
+            ledger.hold(now_us, ledger.position, call, call)
+
+    def wrote(self, now_us: int, done: Done) -> tuple[list[Post], list[Post]]:
+        """What became of the work of the disk; returns answers that may go out, and other posts."""
+        assert self._lasting is not None
+        ledger = self._lasting.ledger
+        answers: list[Post] = []
+        for answer in ledger.done(now_us, done):
+            if callable(answer):
+                answer(True)
+                continue
+            name, body = answer
+            if isinstance(body, TOLD) and self._voter() is not None:
+                if "generation" not in self._off:
+                    self._untold = [*self._untold[-MOST_UNTOLD:], (ledger.synced, name, body)]
+                    continue
+                self._act("promised", position=ledger.synced)
+            answers.append((name, body))
+        posts: list[Post] = []
+        if self._untold and self.standing.own is not None:
+            # Something is promised: a majority is to know how far the folder has come.
+            self.standing.own.synced = ledger.synced
+            posts += self.standing.tell(now_us)
+        return answers, posts
+
+    def _told_enough(self) -> list[Post]:
+        """What was promised, as far as a majority knows that the folder has it."""
+        known = {position for position, _, _ in self._untold if self.standing.known(position)}
+        if not known:
+            return []
+        self._act("promised", position=max(known))
+        ready = [(name, body) for position, name, body in self._untold if position in known]
+        self._untold = [u for u in self._untold if u[0] not in known]
+        return ready
+
+    # ------------------------------------------------------------------ whether the folder is the newest
+
+    def heard(self, now_us: int, sender: str, body: Stand | Stood) -> tuple[list[Post], list[Post]]:
+        """From another voter; returns answers that may go out, and other posts."""
+        if isinstance(body, Stand):
+            return [], [(sender, self.standing.hear(sender, body))]
+        life = self.standing.own.life if self.standing.own is not None else 0
+        self.standing.told(sender, body)
+        self._stood(now_us, life)
+        return (self._told_enough() if self._untold else []), []
+
+    def _may_ask(self) -> bool:
+        """That this process has the folder is to be on the disk before anybody hears of it."""
+        return not self.standing.asking or self.ready(self._begun_at)
+
+    def due_us(self) -> int | None:
+        """When `turn` wants to be called; None: not for itself."""
+        if self._lasting is None or self._voter() is None or not self._may_ask():
+            return None
+        return self.standing.due_us()
+
+    def turn(self, now_us: int) -> list[Post]:
+        own = self.standing.own
+        if own is None or self._voter() is None or not self._may_ask():
+            return []
+        life = own.life
+        posts = list[Post](self.standing.turn(now_us))
+        self._stood(now_us, life)
+        return posts
+
+    def _stood(self, now_us: int, life: int) -> None:
+        """Acts on what became of the comparison of folders."""
+        standing, lasting = self.standing, self._lasting
+        if lasting is None or standing.own is None:
+            return
+        if standing.trust is not self._trusted:
+            self._trusted = standing.trust
+            if standing.trust is Trust.TRUSTED:
+                self._trust()
+            elif standing.trust is Trust.OLD:
+                self._forget(now_us, lasting)
+            elif standing.trust is Trust.LEARNED:
+                self._act("folder", what="learned")
+        if standing.own.life != life:
+            self._begun_at = self.book.begun(standing.own.life, lasting.wall_s)
+
+    def _trust(self) -> None:
+        """Nobody knows of a newer folder: this voter votes, and has forgotten nothing."""
+        voter, keeper = self._voter(), self._replica.keeper if self._replica is not None else None
+        if voter is not None:
+            voter.trust()
+        if keeper is not None and keeper.may_remember:
+            keeper.trust()
+        self._act("folder", what="trusted")
+        own = self.standing.own
+        self.notes.append(("lasting-trusted", {"life": own.life if own is not None else None}))
+
+    def _forget(self, now_us: int, lasting: Lasting) -> None:
+        """The folder is older than what the fleet knows: another is begun, and this voter learns from the
+        others what it may have promised.
+        """
+        standing = self.standing
+        known = standing.newest
+        lasting.identity = lasting.new_identity()
+        standing.begin_anew(lasting.identity)
+        self._trusted = standing.trust
+        lasting.ledger.renew(bytes.fromhex(lasting.identity))
+        voter, keeper = self._voter(), self._replica.keeper if self._replica is not None else None
+        if voter is not None:
+            voter.forget(now_us)
+        if keeper is not None:
+            keeper.may_remember = False
+            keeper.restart(now_us)
+        facts: dict[str, object] = {"why": standing.why_old, "loaded": lasting.loaded}
+        if known is not None:
+            facts |= {"known_life": known.life, "known_position": known.position}
+        self._act("folder", what="old", why=standing.why_old)
+        self.notes.append(("lasting-old", facts))
--- a/sailrun/owners/service.py
+++ b/sailrun/owners/service.py
@@ -93,7 +93,7 @@
         self.copies = CopiesPart(node, self.agent.replica, self) if self.agent.replica is not None else None
         self._lasting = lasting
         if lasting is not None:
-            self.agent.aside = lasting.aside
+            self.agent.backing.aside = lasting.aside
             lasting.on_done = lambda done: self.carrier.post(lambda now_us: self.agent.wrote(now_us, done))
 
     def roster(self, source: ServerRoster, revision: int) -> SharedRoster | None:
@@ -117,7 +117,7 @@
                 new_identity,
             ),
         )
-        found.memory.records = {}  # the copy has them now
+        found.memory.records, found.memory.marks = {}, {}  # the copy has them now
         if self.copies is not None:
             self.copies.begins_with(lasting.drains)
 
--- a/sailrun/platform/households.py
+++ b/sailrun/platform/households.py
@@ -16,7 +16,7 @@
 from sailrun.interface import BackendState, Outcome
 from sailrun.node.clock import log
 from sailrun.node.core import Node
-from sailrun.node.passage import Parcel, Take
+from sailrun.node.parcel import Parcel, Take
 from sailrun.node.session import FormServer, FormSession, Placement
 from sailrun.platform.figures import Figures, Load
 from sailrun.platform.lines import ANSWERS, ENDINGS, BadLine, Opening, load_told, parse_opening, word_of
--- a/sailrun/recollection.py
+++ b/sailrun/recollection.py
@@ -5,15 +5,24 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Mapping
+from typing import Any, Protocol
 
 from sailrun import interface as i
 
-if TYPE_CHECKING:
-    from sailrun.decide import Balancer
 
+class Learner(Protocol):
+    """As much of the module as this reads and sets, besides the fields that `interface.PACE` names."""
 
-def learned(module: Balancer) -> i.Recalled:
+    _class_load: Any
+
+    @property
+    def _servers(self) -> Mapping[int, Any]: ...
+
+    def _recount(self) -> None: ...
+
+
+def learned(module: Learner) -> i.Recalled:
     """What a successor is to know, less what stands here and how the list is."""
     servers = module._servers.values()
     backends = tuple(i.Learned(*(getattr(s, name) for name in i.LEARNED)) for s in servers)
@@ -21,7 +30,7 @@
     return i.Recalled(backends, pace, dict(module._class_load))
 
 
-def recall(module: Balancer, event: i.Recalled) -> None:
+def recall(module: Learner, event: i.Recalled) -> None:
     """Takes it over, of each backend that is still the same process."""
     for one in event.backends:
         server = module._servers.get(one.id)
--- a/sailrun/replica/service.py
+++ b/sailrun/replica/service.py
@@ -8,6 +8,7 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from sailrun.node.clock import log
@@ -31,6 +32,10 @@
 MOST_ANSWERS = 1000
 
 
+def _unkept(answer: Answer) -> Answer:
+    return replace(answer, why="not on the disk: it is gone with this process unless it has spread")
+
+
 class CopiesPart:
     def __init__(self, node: Node, replica: Replica, fleet: FleetPart) -> None:
         self._node, self._replica, self._fleet = node, replica, fleet
@@ -167,7 +172,10 @@
 
         def call(now_us: int) -> list[Out]:
             if wait == "none":
-                answered(self._replica.mark_here(now_us, op))
+                made = self._replica.mark_here(now_us, op)
+                # Of a node that has a folder, it is there when that is said.
+                backing = self._fleet.agent.backing
+                backing.when_kept(now_us, lambda kept: answered(made if kept else _unkept(made)))
             else:
                 self._replica.mark(now_us, op, answered)
             return []
--- a/sailrun/serve.py
+++ b/sailrun/serve.py
@@ -11,7 +11,8 @@
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
 
-from sailrun.config import Address, BadConfig, EnvoyFiles, EnvoyRest, NodeConfig, ServerRoster
+from sailrun.bad_config import BadConfig
+from sailrun.config import Address, EnvoyFiles, EnvoyRest, NodeConfig, ServerRoster
 from sailrun.connection import listen, show_address
 from sailrun.front import FrontDoor, descriptors_allowed
 from sailrun.node.clock import Clock, log
--- a/sailrun/sidecar.py
+++ b/sailrun/sidecar.py
@@ -8,10 +8,10 @@
 from typing import Any
 
 from sailrun import wire
+from sailrun.bad_config import BadConfig
 from sailrun.config import (
     Address,
     AmqpConfig,
-    BadConfig,
     EnvoyFiles,
     EnvoyRest,
     NodeConfig,
--- a/sailrun/succession/handover.py
+++ b/sailrun/succession/handover.py
@@ -18,7 +18,8 @@
 from sailrun.node.clock import log
 from sailrun.node.core import Node
 from sailrun.node.leaving import Reason
-from sailrun.node.passage import Parcel, State
+from sailrun.node.parcel import Parcel
+from sailrun.node.passage import State
 from sailrun.node.reply import answer_to
 from sailrun.succession.link import MOST_SOCKETS, Doorstep, Link, hand, is_ours, knock, receive
 from sailrun.succession.rules import Succession
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -10,7 +10,7 @@
 from sailrun.lab.scheduler import BEGIN_US, Scheduler, VirtualClock
 from sailrun.node.core import Node
 from sailrun.node.counts import Figures
-from sailrun.node.passage import Take
+from sailrun.node.parcel import Take
 from sailrun.node.session import FormServer, FormSession, Placement, RosterNews
 from tests.stand_ins import SETTINGS
 
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -18,7 +18,10 @@
 from sailrun.lab.faults import disk
 from sailrun.lab.faults.disk import SimFiles
 from sailrun.lab.faults.killing import cut_at, entry_of, everything, kill_often, last_of, write
-from sailrun.lab.faults.play import FaultDay, play_virtual
+from sailrun.lab.faults.nemesis import PLANS
+from sailrun.lab.faults.play import LASTING, FaultDay, agent_terms, play_virtual
+from sailrun.lab.faults.virtual import VirtualFleet
+from sailrun.lab.scheduler import BEGIN_US
 from sailrun.lasting import beliefs
 from sailrun.lasting import entries as e
 from sailrun.lasting.files import OsFiles
@@ -29,7 +32,10 @@
 from sailrun.lasting.scribe import Scribe
 from sailrun.lasting.standing import GRACE_US, Own, Standing, Trust
 from sailrun.lasting.terms import LastingTerms
+from sailrun.owners.voter import Slot
+from sailrun.replica.messages import Op
 from sailrun.replica.records import written
+from sailrun.replica.replica import Answer, Replica
 
 SECOND = 1_000_000
 TERMS = LastingTerms(folder="folder")
@@ -457,3 +463,101 @@
     folder.sync()
     found = read_folder(files)
     assert found.sound is Sound.SOUND and len(found.memory.records) == 100_000
+
+
+# ---------------------------------------------------------------------- fleets in virtual time
+
+
+def a_fleet(seed: int = 1) -> VirtualFleet:
+    """Five nodes with folders, three of them voters, that have met."""
+    fleet = VirtualFleet(
+        5,
+        3,
+        1,
+        lambda index, voters, joins: agent_terms(index, voters, joins, PLANS["lasting"]),
+        seed,
+        lasting=LASTING,
+    )
+    fleet.begin()
+    fleet.run(8.0)
+    return fleet
+
+
+def now_s(fleet: VirtualFleet) -> float:
+    return (fleet.time.now_us - BEGIN_US) / SECOND
+
+
+def part_of(fleet: VirtualFleet, name: str) -> Replica:
+    agent = fleet.nodes[name].agent
+    assert agent is not None and agent.replica is not None
+    return agent.replica
+
+
+def test_copies_of_members_that_do_not_vote_are_counted_once_they_are_on_the_disk() -> None:
+    fleet = a_fleet()
+    answers: list[Answer] = []
+    op = Op("mark", part_of(fleet, "n4").new_id(), 0, "out", "s-00000001", True, everybody=True)
+    part_of(fleet, "n4").mark(fleet.clock_us(fleet.nodes["n4"]), op, answers.append)
+    fleet._soon(fleet.nodes["n4"])
+    fleet.run(now_s(fleet) + 3.0)
+    assert [(a.state, a.copies, a.of) for a in answers] == [("done", 5, 5)]
+    for name in fleet.names:
+        found = read_folder(fleet.nodes[name].files)
+        assert ("out", "s-00000001", "") in found.memory.records
+
+
+def test_a_nodes_own_word_is_said_once_it_is_on_the_disk_and_says_where_it_is_not() -> None:
+    fleet = a_fleet()
+    node = fleet.nodes["n4"]
+    agent = node.agent
+    assert agent is not None and node.ledger is not None
+    told: list[bool] = []
+    fleet.mark_here("n4", "s-00000002", True)
+    agent.backing.when_kept(fleet.clock_us(node), told.append)
+    assert not told
+    fleet._soon(node)
+    fleet.run(now_s(fleet) + 0.1)
+    assert told == [True]
+    fleet.fill(["n4"], 60 * SECOND)
+    fleet.mark_here("n4", "s-00000003", True)
+    agent.backing.when_kept(fleet.clock_us(node), told.append)
+    fleet._soon(node)
+    fleet.run(now_s(fleet) + 0.1)
+    assert told == [True, False]
+
+
+def test_a_voter_that_restarts_with_its_folder_need_not_abstain() -> None:
+    fleet = a_fleet()
+    owner = fleet.owner("marks")
+    voter = next(name for name in fleet.voters if name != owner)
+    fleet.kill(voter)
+    fleet.run(now_s(fleet) + 0.5)
+    fleet.start(voter)
+    fleet.run(now_s(fleet) + 0.5)  # a lease is 2 s
+    agent = fleet.nodes[voter].agent
+    assert agent is not None and agent.voter is not None and agent.voter.remembers
+    assert agent.replica is not None and agent.replica.keeper is not None and agent.replica.keeper.remembers
+    assert fleet.owner("marks") == owner
+
+
+def test_all_restarted_at_once_go_on_without_chance_or_clock() -> None:
+    fleet = a_fleet()
+    before = {t: max(s.term for s in _slots(fleet, t)) for t in ("marks",)}
+    fleet.mark("n3", "s-00000001", True)
+    fleet.run(now_s(fleet) + 1.0)
+    for name in fleet.names:
+        fleet.kill(name)
+    for name in fleet.names:
+        fleet.start(name, clock_s=-31_536_000.0)
+    fleet.run(now_s(fleet) + 4.0)
+    assert fleet.owner("marks") is not None
+    after = max(s.term for s in _slots(fleet, "marks"))
+    assert before["marks"] < after < before["marks"] + 10  # the next ones, not others by the clock
+    assert all(("out", "s-00000001") in part_of(fleet, name)._used for name in fleet.names)
+
+
+def _slots(fleet: VirtualFleet, task: str) -> list[Slot]:
+    voters = [
+        n.agent.voter for n in fleet.nodes.values() if n.agent is not None and n.agent.voter is not None
+    ]
+    return [v.slots()[task] for v in voters if task in v.slots()]
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from sailrun.config import BadConfig
+from sailrun.bad_config import BadConfig
 from sailrun.operator import read_operator, voters_follow
 from sailrun.owners.founding import founding_term
 from sailrun.owners.messages import Ask, Deny, Grant, Recall, Recalled, Release, Say, Want
