Have a learning voter ask for its memory only once its folder was compared with what others know

Also: a voter still learning terms gave up what it knew of marks at each restart, and two such at a time began anew. Change: Recall goes out after the comparison; a folder may be the newest though its voter has not learned all; what waited for a disk that fails is told so.

--- a/sailrun/lasting/ledger.py
+++ b/sailrun/lasting/ledger.py
@@ -63,6 +63,7 @@
         self.whole: Callable[[], Iterable[Entry]] = list
         self.notes: list[tuple[str, dict[str, object]]] = []  # for the log; emptied by whoever drives this
         self.dropped = 0  # answers that were never sent
+        self.on_dropped: Callable[[Any], None] = lambda answer: None
         self.waited_us: list[int] = []  # how long answers waited, the latest ones; for the figures
         self._entries: list[Entry] = []
         self._bytes = 0
@@ -116,8 +117,8 @@
         before = self._held.pop(key, None)
         since_us = before[1] if before is not None and before[0] == position else now_us
         while len(self._held) >= MOST_HELD:
-            del self._held[next(iter(self._held))]
             self.dropped += 1
+            self.on_dropped(self._held.pop(next(iter(self._held)))[2])
         self._held[key] = (position, since_us, answer)
 
     @property
@@ -201,5 +202,7 @@
         self.notes.append((f"lasting-{disk.value}", facts))
 
     def _drop_held(self) -> None:
-        self.dropped += len(self._held)
-        self._held.clear()
+        held, self._held = self._held, {}
+        self.dropped += len(held)
+        for _, _, answer in held.values():
+            self.on_dropped(answer)
--- a/sailrun/owners/backing.py
+++ b/sailrun/owners/backing.py
@@ -83,6 +83,7 @@
         voter.write_slot, voter.write_floor = self.book.slot, self.book.floor
         voter.write_votes = self.book.votes
         voter.on_founded = lambda: self._act("founded", what="terms")
+        voter.on_remembered = lambda: self._act("remembered", what="terms")
         voter.registered = lambda: self.standing.registered
         voter.able = lambda: self._lasting is None or self._lasting.ledger.able
         # What a folder has of another time as a voter may not be all: `take_up` comes after.
@@ -99,37 +100,41 @@
         whether they know of a newer one, and grants nothing before.
         """
         self._lasting, memory, sound = lasting, lasting.memory, lasting.sound
-        votes = sound and memory.votes
         ledger = self.book.ledger = lasting.ledger
         ledger.whole = self.whole
+        ledger.on_dropped = lambda answer: answer(False) if callable(answer) else None
         own = Own(lasting.identity, self._run, memory.life + 1, lasting.loaded, ledger.synced)
-        self.standing.take_up(own, votes, memory.notes)
+        self.standing.take_up(own, sound, memory.notes)
         self._trusted = self.standing.trust
         self._begun_at = self.book.begun(own.life, lasting.wall_s)
         voter = self._voter()
-        if voter is not None and votes:
+        if voter is not None and sound and memory.votes:
             voter.take_up(now_us, known_slots(memory), memory.floors)
         elif voter is not None:
+            # As far as it goes: terms only rise by it, and the others are asked for the rest.
             for task, term in memory.highest().items():
                 voter.heard_of(task, term)
+            self._act("folder", what="learning", of="terms")
         if sound and self._walks is not None:
             plans = [(p.walk, p.for_us, p.names) for p in memory.plans.values()]
             self._walks.take_up(now_us, memory.walks, plans)
         if sound and self._replica is not None:
-            self._take_up_copy(now_us, self._replica, memory, votes)
+            self._take_up_copy(now_us, self._replica, memory)
         if self.standing.trust is Trust.TRUSTED:
             self._trust()
 
-    def _take_up_copy(self, now_us: int, replica: Replica, memory: e.Memory, votes: bool) -> None:
+    def _take_up_copy(self, now_us: int, replica: Replica, memory: e.Memory) -> None:
         if memory.whole:
             held = ((r, memory.marks[key]) for key, r in memory.records.items())
             with uncollected():
                 left = replica.take_up(now_us, held, memory.epoch)
             facts: dict[str, object] = {"records": len(replica.store), "epoch": memory.epoch}
             self.notes.append(("copy-found", {**facts, "left": left or None}))
-        if replica.keeper is not None and memory.keeps is not None:
-            keeps = memory.keeps
-            replica.keeper.take_up(keeps.life, keeps.promised, keeps.lives, keeps.remembers, votes)
+        keeps = memory.keeps
+        if replica.keeper is not None and keeps is not None:
+            replica.keeper.take_up(keeps.life, keeps.promised, keeps.lives, keeps.remembers)
+            if not keeps.remembers:
+                self._act("folder", what="learning", of="marks")
 
     def whole(self) -> Iterable[e.Entry]:
         """All that is to be known after a restart, as it is now: to be gone through once, wherever."""
@@ -254,9 +259,9 @@
             self._begun_at = self.book.begun(standing.own.life, lasting.wall_s)
 
     def _trust(self) -> None:
-        """Nobody knows of a newer folder: this voter votes, and has forgotten nothing."""
+        """Nobody knows of a newer folder: this voter has forgotten nothing of what that says it remembers."""
         voter, keeper = self._voter(), self._replica.keeper if self._replica is not None else None
-        if voter is not None:
+        if voter is not None and voter.may_remember:
             voter.trust()
         if keeper is not None and keeper.may_remember:
             keeper.trust()
--- a/sailrun/owners/voter.py
+++ b/sailrun/owners/voter.py
@@ -78,6 +78,7 @@
         self.write_floor: Callable[[str, int], int] = lambda task, term: 0
         self.write_votes: Callable[[bool], int] = lambda remembers: 0
         self.on_founded: Callable[[], None] = lambda: None
+        self.on_remembered: Callable[[], None] = lambda: None
 
     # ------------------------------------------------------------------ what outlasts the process
 
@@ -103,6 +104,8 @@
     def _remember(self, yes: bool) -> None:
         self.remembers = yes
         self.write_votes(yes)
+        if yes:
+            self.on_remembered()
 
     def forget(self, now_us: int) -> None:
         """The folder is older than what the fleet knows: as if there had been none. Terms only rise by it."""
@@ -192,11 +195,14 @@
 
     def due_us(self) -> int | None:
         """When `turn` wants to be called; None: not for itself."""
-        return None if self.remembers or self.may_remember else self._recall_us
+        waits = self.remembers or self.may_remember or not self.registered()
+        return None if waits else self._recall_us
 
     def turn(self, now_us: int) -> list[tuple[str, Recall]]:
         """Asks the others what this voter may have forgotten, until it may grant."""
-        if self.remembers or self.may_remember or now_us < self._recall_us:
+        # Who asks says that it has no memory, which makes a folder of its older: first others know of this
+        # one.
+        if self.remembers or self.may_remember or now_us < self._recall_us or not self.registered():
             return []
         self._recall_us = now_us + RECALL_US
         self._end_abstaining(now_us)
--- a/sailrun/replica/keeper.py
+++ b/sailrun/replica/keeper.py
@@ -79,7 +79,6 @@
         self._name, self._voters, self._store, self._sync, self._off = name, voters, store, sync, off
         self._diary = diary or Diary()
         self.may_remember = False  # a folder is being compared with what the others know of it
-        self._remembered = False  # it remembered, by that folder
         self.life = 0
         self.lives: dict[str, int] = {}
         self.promised = 0
@@ -97,25 +96,22 @@
 
     # ------------------------------------------------------------------ what outlasts the process
 
-    def take_up(
-        self, life: int, promised: int, lives: dict[str, int], remembers: bool, may_remember: bool
-    ) -> None:
-        """What its folder has of the time before this process; `remembers`: as that said. `may_remember`: it
-        may be all, as `trust` or `restart` will tell.
+    def take_up(self, life: int, promised: int, lives: dict[str, int], remembers: bool) -> None:
+        """What its folder has of the time before this process; `remembers`: it says that this was all, as
+        `trust` or `restart` will tell.
         """
         self.life, self.promised = max(life, self.life), max(promised, self.promised)
         self.lives = {**lives, **self.lives}
-        self.may_remember, self._remembered = may_remember, remembers
+        self.may_remember = remembers
 
     def trust(self) -> None:
         """The folder is the newest there is."""
         self.may_remember = False
-        self.remembers = self.remembers or (self._remembered and self._sync.whole)
+        self.remembers = self._sync.whole
 
     def state(self) -> tuple[int, int, dict[str, int], bool]:
         """What the diary is told."""
-        remembers = self.remembers or (self.may_remember and self._remembered)
-        return self.life, self.promised, dict(self.lives), remembers
+        return self.life, self.promised, dict(self.lives), self.remembers or self.may_remember
 
     def _write(self) -> None:
         self._diary.keeps(*self.state())
@@ -300,4 +296,5 @@
                     self.lives[voter] = max(life, self.lives.get(voter, 0))
         self.remembers = True
         self._write()
+        self._sync.on_remembered()
         self._sync.note("marks-remembered", life=self.life, voters=",".join(sorted(back.taken)))
--- a/sailrun/replica/replica.py
+++ b/sailrun/replica/replica.py
@@ -130,6 +130,7 @@
         self.use_voters(now_us)
         self.sync.on_thrown = self._thrown
         self.sync.on_founded = lambda: self._act("founded", what="marks")
+        self.sync.on_remembered = lambda: self._act("remembered", what="marks")
         self.sync.on_lost = lambda key: self._touched.add(key) if key[0] in KINDS else None
         self._actor = f"{name}/{life:x}"
         self._count = 0
--- a/sailrun/replica/sync.py
+++ b/sailrun/replica/sync.py
@@ -108,6 +108,7 @@
         self.on_thrown: Callable[[int, bool], None] = lambda now_us, counted: None
         self.on_lost: Callable[[Key], None] = lambda key: None  # nobody had the record
         self.on_founded: Callable[[], None] = lambda: None  # too few voters remembered
+        self.on_remembered: Callable[[], None] = lambda: None  # this voter knows again what it had promised
         self._hot: OrderedDict[Key, int] = OrderedDict()  # by key, how often told
         self._attic: list[Record] = []  # of a copy thrown away: what nodes said on their own word
         self.lost: dict[Key, int] = {}  # records whose bytes were spoilt, to be had again by a time
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -433,6 +433,7 @@
     files = OsFiles(folder)
     files.make()
     write(files, random.Random(1), lambda number: None, 20, frozenset())
+    files.unlock()
     shown = json.loads(cli("show", str(folder), "--json").stdout)
     assert shown["sound"] == "sound" and shown["node"] == "n1" and shown["terms"]["task"] >= 19
     assert "task" in cli("show", str(folder)).stdout
