Let a voter with a folder begin anew only where a majority of voters has forgotten

Change: who has a folder waits while a majority may remember; without folders as before. The judge forgets promises of a time that was put back.

--- a/sailrun/lab/faults/folders.py
+++ b/sailrun/lab/faults/folders.py
@@ -80,6 +80,7 @@
                 restored.discard(node)
                 if promised.get(node, 0) > row["position"]:
                     restored.add(node)
+                promised[node] = min(row["position"], promised.get(node, 0))
             elif row["kind"] == "folder" and node in restored:
                 if row["what"] == "trusted":
                     self._fault(check, row, "votes by an older folder")
--- a/sailrun/owners/backing.py
+++ b/sailrun/owners/backing.py
@@ -108,6 +108,8 @@
         self._trusted = self.standing.trust
         self._begun_at = self.book.begun(own.life, lasting.wall_s)
         voter = self._voter()
+        if voter is not None:
+            voter.lasts = True
         if voter is not None and sound and memory.votes:
             voter.take_up(now_us, known_slots(memory), memory.floors)
         elif voter is not None:
--- a/sailrun/owners/voter.py
+++ b/sailrun/owners/voter.py
@@ -69,9 +69,11 @@
         self._recalled: dict[str, Recalled] = {}  # the latest of each
         self.remembers = "abstain" in off
         self.founded = False
-        # With a folder: whether what it holds may turn out to be all that this voter ever granted; whether
-        # it may vote as one that has learned anew; whether its disk keeps up; and who writes down.
+        # With a folder: whether what it holds may turn out to be all that this voter ever granted; that there
+        # is one; whether it may vote as one that has learned anew; whether its disk keeps up; who writes
+        # down.
         self.may_remember = False
+        self.lasts = False
         self.registered: Callable[[], bool] = lambda: True
         self.able: Callable[[], bool] = lambda: True
         self.write_slot: Callable[[str, Slot], int] = lambda task, slot: 0
@@ -233,6 +235,9 @@
             # Too few remember: a term may have been forgotten by all who granted it.
             if any(a.may_remember for a in self._recalled.values()):
                 return  # they will tell in a moment
+            forgot = {name for name, a in self._recalled.items() if not a.remembers} | {self._name}
+            if self.lasts and self.voters.majority(set(self.voters.all()) - forgot):
+                return  # a majority has folders that may remember: no clock and no chance is needed
             lost = everybody and not remembering
             patient = waited_us >= abstain_us(self._terms) + int(PATIENCE * self._terms.lease_s * SECOND)
             if not self.voters.majority({*self._recalled, self._name}) or not (lost or patient):
