Tell a voter that learns, and has a folder, from one that has none

Seen: of 660 days two had a voter begin another folder without need ('another folder is known of that life'), and with a second one lost too few remembered. A voter that asks for its memory was noted as one without a folder by those who had not heard of its folder yet (Recall). Change: Recall says whether there is a folder; the judge allows all who forgot together to begin together.

--- a/sailrun/lab/faults/folders.py
+++ b/sailrun/lab/faults/folders.py
@@ -46,6 +46,7 @@
         check = Counted("nothing-begun-anew", occasions=0)
         begun: set[tuple[str, str]] = set()
         forgot: dict[str, set[str]] = {"terms": set(), "marks": set()}
+        many: dict[str, set[str]] = {"terms": set(), "marks": set()}
         for row in self.rows:
             node, kind = row["node"], row["kind"]
             first = row["at_us"] < self._begin_us + int((CALM_BEGIN_S + FIRST_S) * 1e6)
@@ -56,13 +57,16 @@
                     voters.add(node)
             elif kind == "folder" and row["what"] == "learning":
                 forgot[row["of"]].add(node)
-            elif kind in ("remembered", "founded"):
-                forgot[row["what"]].discard(node)
             if kind == "founded":
-                many = len(forgot[row["what"]] | {node}) > self._bears
-                if not many and (not first or (node, row["what"]) in begun):
+                together = forgot[row["what"]] | {node}
+                if len(together) > self._bears:
+                    many[row["what"]] |= together  # each of them may, whoever is first
+                if node not in many[row["what"]] and (not first or (node, row["what"]) in begun):
                     self._fault(check, row, f"{row['what']} begun anew")
                 begun.add((node, row["what"]))
+            if kind in ("remembered", "founded"):
+                forgot[row["what"]].discard(node)
+                many[row["what"]].discard(node)
         return check
 
     def _older_found(self) -> Check:
--- a/sailrun/owners/agent.py
+++ b/sailrun/owners/agent.py
@@ -305,7 +305,8 @@
             case Release():
                 voter.released(sender, life, body)
             case Recall():
-                self.backing.standing.forgot(sender, life)
+                if not body.lasts:
+                    self.backing.standing.forgot(sender, life)
                 return self._post(sender, voter.recall(body))
             case Recalled():
                 voter.told(now_us, sender, body)
--- a/sailrun/owners/messages.py
+++ b/sailrun/owners/messages.py
@@ -59,9 +59,12 @@
 
 
 class Recall(msgspec.Struct, array_like=True, frozen=True, tag="recall"):
-    """A voter that has started asks the others what it may have forgotten."""
+    """A voter that has started asks the others what it may have forgotten. `lasts`: it has a folder, which
+    tells them how far that has come; else whatever folder it had is older than what it does from now on.
+    """
 
     number: int
+    lasts: bool = False
 
 
 class Recalled(msgspec.Struct, array_like=True, frozen=True, tag="recalled"):
--- a/sailrun/owners/voter.py
+++ b/sailrun/owners/voter.py
@@ -211,7 +211,7 @@
         if self.remembers:
             return []
         self._number += 1
-        return [(name, Recall(self._number)) for name in self.voters.all() if name != self._name]
+        return [(name, Recall(self._number, self.lasts)) for name in self.voters.all() if name != self._name]
 
     def recall(self, recall: Recall) -> Recalled:
         terms = {task: self.highest(task) for task in {*self._slots, *self._floor}}
