--- a/sailrun/lab/faults/virtual.py
+++ b/sailrun/lab/faults/virtual.py
@@ -15,8 +15,9 @@
 from sailrun.lab.faults.disk import SimFiles
 from sailrun.lab.faults.history import Row
 from sailrun.lab.scheduler import BEGIN_US, Scheduler
-from sailrun.lasting.folder import Folder, Sound, read_folder
+from sailrun.lasting.folder import Sound, read_folder
 from sailrun.lasting.ledger import Done, Ledger, Work
+from sailrun.lasting.opening import open_folder
 from sailrun.lasting.scribe import Scribe
 from sailrun.lasting.terms import LastingTerms
 from sailrun.members.messages import Record, State
@@ -241,24 +242,18 @@
     ) -> None:
         agent = node.agent
         assert agent is not None
-        found = read_folder(node.files)
-        slow_us = int(agent.terms.owners.lease_s * SECOND) // 2
-        ledger = node.ledger = Ledger(terms, slow_us, found.position, self._off)
-        folder = Folder(node.files, found, self._off)
-        node.scribe = Scribe(folder, node.name, "lab")
-        identity = found.identity.hex()
-        if found.sound is Sound.SOUND:
-            folder.go_on()
-        else:
-            identity = f"{luck.getrandbits(128):032x}"
-            ledger.renew(bytes.fromhex(identity))
-        self.row("folder", node.name, what="found", sound=found.sound.value, why=found.why, torn=found.torn)
-        sound = found.sound is Sound.SOUND
 
         def another() -> str:
             return f"{luck.getrandbits(128):032x}"
 
-        lasting = Lasting(ledger, identity, found.memory, sound, found.position, wall_s, another)
+        slow_us, now_us = int(agent.terms.owners.lease_s * SECOND) // 2, self.clock_us(node)
+        opened = open_folder(node.files, terms, slow_us, node.name, "lab", another, now_us, self._off)
+        node.ledger, node.scribe, found = opened.ledger, opened.scribe, opened.found
+        sound = found.sound is Sound.SOUND
+        self.row("folder", node.name, what="found", sound=found.sound.value, why=found.why, torn=found.torn)
+        lasting = Lasting(
+            opened.ledger, opened.identity, found.memory, sound, found.position, wall_s, another
+        )
         agent.take_up(self.clock_us(node), lasting)
 
     def _to_disk(self, node: VirtualNode) -> None:
--- /dev/null
+++ b/sailrun/lasting/opening.py
@@ -0,0 +1,54 @@
+"""What a start makes of a folder: the same for a running node and for the laboratory's."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sailrun.lasting.files import Files
+from sailrun.lasting.folder import Folder, Found, Sound, read_folder
+from sailrun.lasting.ledger import Done, Ledger
+from sailrun.lasting.scribe import Scribe
+from sailrun.lasting.terms import LastingTerms
+
+
+@dataclass(slots=True)
+class Opened:
+    found: Found
+    ledger: Ledger
+    scribe: Scribe
+    identity: str  # that of the folder from now on: another one, unless it is sound
+
+
+def open_folder(
+    files: Files,
+    terms: LastingTerms,
+    slow_us: int,
+    node: str,
+    fleet: str,
+    new_identity: Callable[[], str],
+    now_us: int,
+    off: frozenset[str] = frozenset(),
+) -> Opened:
+    """Reads the folder and takes it over as far as it is sound and this node's; otherwise another is begun
+    with the first work. A disk that fails costs the vote until it is well, and nothing else. Raises
+    NewerSchema.
+    """
+    try:
+        found = read_folder(files)
+    except OSError as error:
+        found = Found(Sound.DOUBTFUL, f"cannot be read: {error.strerror or error}")
+    if found.sound is Sound.SOUND and (found.node, found.fleet) != (node, fleet):
+        found = Found(Sound.DOUBTFUL, f"of node {found.node} of fleet {found.fleet}")
+    ledger = Ledger(terms, slow_us, found.position, off)
+    folder = Folder(files, found, off)
+    identity = found.identity.hex()
+    if found.sound is Sound.SOUND:
+        try:
+            folder.go_on()
+        except OSError as error:
+            ledger.done(now_us, Done(0, 0, error.strerror or str(error)))
+    else:
+        identity = new_identity()
+        ledger.renew(bytes.fromhex(identity))
+    return Opened(found, ledger, Scribe(folder, node, fleet), identity)
--- a/sailrun/lasting/service.py
+++ b/sailrun/lasting/service.py
@@ -22,9 +22,10 @@
 from sailrun.lasting import beliefs
 from sailrun.lasting import entries as e
 from sailrun.lasting.files import OsFiles
-from sailrun.lasting.folder import Folder, Found, Sound, new_identity, read_folder
+from sailrun.lasting.folder import Folder, Found, Sound, new_identity
 from sailrun.lasting.frames import NewerSchema
 from sailrun.lasting.ledger import Disk, Done, Ledger, Work
+from sailrun.lasting.opening import open_folder
 from sailrun.lasting.scribe import Scribe
 from sailrun.lasting.terms import LastingTerms
 from sailrun.node.clock import log
@@ -101,27 +102,20 @@
     def _read(self) -> None:
         """Reads the folder, and takes it over as far as it is sound."""
         try:
-            found = read_folder(self._files)
+            opened = open_folder(
+                self._files,
+                self.terms,
+                self._slow_us,
+                self._name,
+                self._fleet,
+                new_identity,
+                self._clock_us(),
+            )
         except NewerSchema as error:
             raise BadConfig(self._files.folder, "lasting.folder", str(error)) from None
-        except OSError as error:
-            found = Found(Sound.DOUBTFUL, f"cannot be read: {error.strerror or error}")
-        if found.sound is Sound.SOUND and (found.node, found.fleet) != (self._name, self._fleet):
-            found.sound, found.why = Sound.DOUBTFUL, f"of node {found.node} of fleet {found.fleet}"
-            found.memory = e.Memory()
-        self.found, self.open = found, True
-        self.ledger = Ledger(self.terms, self._slow_us, found.position, frozenset())
-        folder = Folder(self._files, found)
-        self._scribe = Scribe(folder, self._name, self._fleet)
-        self.identity = found.identity.hex()
-        if found.sound is Sound.SOUND:
-            try:
-                folder.go_on()
-            except OSError as error:
-                self.ledger.done(self._clock_us(), Done(0, 0, error.strerror or str(error)))
-        else:
-            self.identity = new_identity()
-            self.ledger.renew(bytes.fromhex(self.identity))
+        found = self.found = opened.found
+        self.ledger, self._scribe, self.identity = opened.ledger, opened.scribe, opened.identity
+        self.open = True
         log(
             "lasting",
             folder=self.terms.folder,
