Start the platform's node without the command line's library: half the processor time

Seen: a start takes 193 ms of a core until it serves, 4.5 times what the interpreter with its event loop takes (benchmarks/startup.py, with the development packages beside), and at a fifth of a core households wait for it. Checked by -X importtime and by leaving parts out: the argument library and what its call loads (help pages, metadata of packages) are half of it (cli.py, command). Change: without arguments __main__ goes straight to start.py; the command line uses the same.

--- a/sailrun/cli.py
+++ b/sailrun/cli.py
@@ -2,17 +2,14 @@
 
 from __future__ import annotations
 
-import os
 import sys
-from dataclasses import replace
-from importlib import metadata
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
 from sailrun.bad_config import BadConfig
-from sailrun.config import NodeConfig, read_node_config
+from sailrun.start import by_environment, complain, start
 
 app = typer.Typer(
     help="A node that places census form sessions on form servers.",
@@ -37,50 +34,16 @@
 DEFAULT_CLASS = "page-load:500:2000:50"
 
 
-def complain(error: object) -> typer.Exit:
-    """A fault of the caller's: one plain line, and exit code 2."""
-    print(f"sailrun: {error}", file=sys.stderr)
-    return typer.Exit(2)
-
-
 @app.callback(invoke_without_command=True)
 def main(context: typer.Context) -> None:
     if context.invoked_subcommand is None:
-        path, operator = (os.environ.get(name) for name in ("RELAY_CONFIG", "SAILRUN_OPERATOR"))
-        serve(Path(path) if path else None, None, Path(operator) if operator else None)
+        start(*by_environment())
 
 
 @app.command()
 def serve(config: ConfigPath = None, sidecar: SidecarPath = None, operator: OperatorPath = None) -> None:
     """Serve households until told to stop (also without any sub-command)."""
-    from sailrun.serve import run
-
-    def read() -> NodeConfig:
-        told = read_main()
-        if operator is None:
-            return told
-        from sailrun.operator import read_operator
-
-        return replace(told, operator=read_operator(operator))
-
-    def read_main() -> NodeConfig:
-        if sidecar is not None:
-            from sailrun.sidecar import read_sidecar
-
-            return read_sidecar(sidecar)
-        if config is None:
-            raise complain(
-                "RELAY_CONFIG: is not set, and neither --config nor --sidecar was given; to see nodes work "
-                "without a platform: sailrun lab run quickstart --out FOLDER"
-            )
-        return read_node_config(config)
-
-    try:
-        run(read)
-    except BadConfig as error:
-        raise complain(error) from None
-    except (OSError, ImportError) as error:
-        raise complain(f"{sidecar or config}: {error}") from None
+    start(config, operator, sidecar)
 
 
 @config_app.command("check")
@@ -100,7 +63,7 @@
             return
         told = read_sidecar(path)
     except BadConfig as error:
-        raise complain(error) from None
+        complain(error)
     print(f"{path}: fit to serve '{told.name}'")
 
 
@@ -134,7 +97,7 @@
     for stated in classes or [DEFAULT_CLASS]:
         name, *figures = stated.split(":")
         if not name or len(figures) != 3 or not all(f.isdigit() and int(f) > 0 for f in figures):
-            raise complain(f"--class: '{stated}' is no NAME:OBJECTIVE_MS:DEADLINE_MS:MESSAGE_MS")
+            complain(f"--class: '{stated}' is no NAME:OBJECTIVE_MS:DEADLINE_MS:MESSAGE_MS")
         objective, deadline, aim = (int(f) * 1000 for f in figures)
         services.append(
             {
@@ -150,16 +113,18 @@
             file.write(tomli_w.dumps(draft(application, amqp_listen, zone, services)))
         read_sidecar(out)
     except OSError as error:
-        raise complain(f"{out}: {error.strerror}") from None
+        complain(f"{out}: {error.strerror}")
     except BadConfig as error:
         out.unlink()
-        raise complain(error) from None
+        complain(error)
     print(f"{out}: written for '{application}'")
 
 
 @app.command()
 def version() -> None:
     """Print the version."""
+    from importlib import metadata
+
     try:
         print(metadata.version("sailrun"))
     except metadata.PackageNotFoundError:
@@ -169,9 +134,7 @@
 
 
 def command() -> None:
-    """The program. As the platform starts it, without arguments, it loads and builds no sub-command's
-    page.
-    """
+    """The program. As the platform starts it, without arguments, it does not come here."""
     if len(sys.argv) > 1:
         from sailrun.control.cli import app as fleet_app
         from sailrun.lab.cli import app as lab_app
