--- a/benchmarks/lasting.py
+++ b/benchmarks/lasting.py
@@ -24,6 +24,7 @@
 
 import tomli_w
 
+from benchmarks.startup import a_config
 from sailrun import interface as i
 from sailrun import recollection
 from sailrun.lab.faults.days import occasions, sweep_days
@@ -31,7 +32,6 @@
 from sailrun.lab.faults.play import FaultDay
 from sailrun.lab.faults.rig import free_address
 from sailrun.lab.figures import quantile
-from sailrun.lab.terms import WorldTerms
 from sailrun.lasting import beliefs
 from sailrun.lasting import entries as e
 from sailrun.lasting.files import OsFiles
@@ -111,17 +111,8 @@
 
 def _start_s(path: Path, kept: bool, records: int) -> float:
     """From `exec` until the node says that it serves."""
-    members, listen, discovery = (f"127.0.0.1:{free_address()[1]}" for _ in range(3))
-    told = {
-        "name": "n1",
-        "listen": listen,
-        "discovery": discovery,
-        "seed": "1",
-        "peers": [],
-        "known": {"revision": 1, "complete": True, "members": []},
-        "settings": WorldTerms(nodes=1, form_servers=1).settings(0),
-    }
-    (path / "config.json").write_text(json.dumps(told))
+    (path / "config.json").write_text(json.dumps(a_config()))
+    members = f"127.0.0.1:{free_address()[1]}"
     tables: dict[str, dict[str, object]] = {
         "members": {"enabled": True, "name": "n1", "listen": members},
         "owners": {"enabled": True, "voters": ["n1", "n2", "n3"]},
@@ -185,24 +176,12 @@
     """One of twenty form servers times every attempt out. A node finds out, restarts, and goes on for 10 s:
     its attempts there, households brought up at once, and attempts there had it not been restarted.
     """
-    from tests.support import Relay, full
-
-    def play(relay: Relay) -> int:
-        up = 0
-        for n in range(50):
-            names = [relay.ask(key=f"k{n % 7}-{m}", left_us=1_200_000) for m in range(12)]
-            relay.advance(20_000)
-            for name in names:
-                if name in relay.attempts and relay.attempts[name].backend != bad:
-                    relay.opened(name)
-            relay.advance(180_000)
-            up += sum(name in relay.attempts and relay.attempts[name].stands for name in names)
-        return up
+    from tests.support import Relay, full, ten_seconds
 
     bad = 7
     first = Relay(seed=3)
     first.feed(full(*range(1, 21)))
-    play(first)
+    ten_seconds(first, bad)
     names = {n: f"s-{n}" for n in range(1, 21)}
     content = beliefs.pack(first.now, recollection.learned(first.balancer), names)
     second = Relay(seed=4)
@@ -212,11 +191,11 @@
         learned = beliefs.unpack(content, second.now, 120.0, {f"s-{n}": (n, 0) for n in range(1, 21)})
         assert isinstance(learned, i.Recalled)
         second.feed(learned)
-    up = play(second)
+    up = ten_seconds(second, bad)
     second.finish()
     sends = [backend for promise in second.promises.values() for backend, _ in promise.sends]
     before = sum(backend == bad for p in first.promises.values() for backend, _ in p.sends)
-    play(first)
+    ten_seconds(first, bad)
     after = sum(backend == bad for p in first.promises.values() for backend, _ in p.sends)
     return sends.count(bad), up, after - before
 
--- a/benchmarks/startup.py
+++ b/benchmarks/startup.py
@@ -46,9 +46,10 @@
     return on_core_ns / 1e6, pages * os.sysconf("SC_PAGE_SIZE") / 1e6
 
 
-def _node(place: Path, config: Path) -> tuple[float, float]:
+def a_config() -> dict[str, object]:
+    """What the platform would tell a node that has the machine for itself, and no form servers."""
     listen, discovery = (f"127.0.0.1:{free_address()[1]}" for _ in range(2))
-    told = {
+    return {
         "name": "n1",
         "listen": listen,
         "discovery": discovery,
@@ -57,7 +58,10 @@
         "known": {"revision": 1, "complete": True, "members": []},
         "settings": WorldTerms(nodes=1, form_servers=1).settings(0),
     }
-    config.write_text(json.dumps(told))
+
+
+def _node(place: Path, config: Path) -> tuple[float, float]:
+    config.write_text(json.dumps(a_config()))
     command = [sys.executable, "-m", "sailrun"]
     return _cost(command, {"RELAY_CONFIG": str(config), "PYTHONPATH": str(place)}, place, " serving ")
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from sailrun import interface as i
@@ -223,3 +224,20 @@
 
     def took(self, kind: type) -> list[i.Action]:
         return [a for a in self.log if isinstance(a, kind)]
+
+
+def ten_seconds(relay: Relay, bad: int, before: Callable[[int], None] = lambda n: None) -> int:
+    """Sixty households a second for 10 s; every attempt at `bad` times out, all others are answered at once.
+    `before` is called before each fifth of a second. Returns how many were brought up at once.
+    """
+    brought_up = 0
+    for n in range(50):
+        before(n)
+        names = [relay.ask(key=f"k{n % 7}-{m}", left_us=1_200_000) for m in range(12)]
+        relay.advance(20_000)
+        for name in names:
+            if name in relay.attempts and relay.attempts[name].backend != bad:
+                relay.opened(name)
+        relay.advance(180_000)
+        brought_up += sum(name in relay.attempts and relay.attempts[name].stands for name in names)
+    return brought_up
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -47,7 +47,7 @@
 from sailrun.replica.store import ALL, RANGES, Store, Took, range_of
 from sailrun.replica.sync import FORGOTTEN
 from sailrun.replica.terms import ReplicaTerms
-from tests.support import Relay, full
+from tests.support import Relay, full, ten_seconds
 
 SECOND = 1_000_000
 KEY = ("out", "s-00000001", "")
@@ -585,23 +585,18 @@
     """A node just started, twenty form servers, one of which times every attempt out; sixty households a
     second for 10 s. Returns attempts there and how many households were brought up at once.
     """
-    relay, brought_up = Relay(seed=3), 0
+    relay = Relay(seed=3)
     relay.feed(full(*range(1, 21)))
     bad = 7
     hearsay = Hearsay(relay.balancer, lambda *a, **k: None)
-    for n in range(50):
-        now_us = relay.now
+
+    def hear_say(n: int) -> None:
         if hearsay_again_us is not None and n % 5 == 0:
-            event = hearsay.told(now_us, {bad: 30 * SECOND - n * 200_000}, (), 10_000)
+            event = hearsay.told(relay.now, {bad: 30 * SECOND - n * 200_000}, (), 10_000)
             if event is not None:
                 relay.feed(event)
-        names = [relay.ask(key=f"k{n % 7}-{m}", left_us=1_200_000) for m in range(12)]
-        relay.advance(20_000)
-        for name in names:
-            if name in relay.attempts and relay.attempts[name].backend != bad:
-                relay.opened(name)
-        relay.advance(180_000)
-        brought_up += sum(name in relay.attempts and relay.attempts[name].stands for name in names)
+
+    brought_up = ten_seconds(relay, bad, hear_say)
     relay.finish()
     sends = [backend for promise in relay.promises.values() for backend, _ in promise.sends]
     return sends.count(bad), brought_up
