Promise nothing again before a majority has noted it; mend what reading over found

Change: these, each with a test but the third; a folder whose lock cannot be had is tried on a process; fields that nobody read and a second way to complain are gone; the rule 'folder' is tried where it shows most.

--- a/sailrun/lasting/beliefs.py
+++ b/sailrun/lasting/beliefs.py
@@ -18,7 +18,6 @@
 SECOND = 1_000_000
 # Below this nothing is believed any more.
 LEAST = 1 / 16
-LONGEST = 1024 * 1024
 
 
 class Told(msgspec.Struct, array_like=True, frozen=True):
--- a/sailrun/lasting/cli.py
+++ b/sailrun/lasting/cli.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import json
-import sys
 import time
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Any
 
 import typer
 
+from sailrun.start import complain
+
 if TYPE_CHECKING:
     from sailrun.lasting.folder import Found
 
@@ -22,11 +23,6 @@
 ]
 
 
-def _complain(folder: Path, error: object) -> typer.Exit:
-    print(f"sailrun: {folder}: {error}", file=sys.stderr)
-    return typer.Exit(2)
-
-
 def _read(folder: Path) -> Found:
     from sailrun.lasting.files import OsFiles
     from sailrun.lasting.folder import read_folder
@@ -35,9 +31,9 @@
     try:
         return read_folder(OsFiles(folder))
     except NewerSchema as error:
-        raise _complain(folder, error) from None
+        complain(f"{folder}: {error}")
     except OSError as error:
-        raise _complain(folder, error.strerror or error) from None
+        complain(f"{folder}: {error.strerror or error}")
 
 
 def _facts(found: Found) -> dict[str, Any]:
@@ -83,7 +79,7 @@
         "out_by_hand_here": sorted(memory.hand.out) if memory.hand is not None else [],
         "terms": dict(sorted(memory.highest().items())),
         "promised": memory.keeps.promised if memory.keeps is not None else 0,
-        "votes_remembered": found.sound.value == "sound",
+        "votes_remembered": found.sound.value == "sound" and memory.votes,
         "learned_age_s": round(age_s, 1) if memory.learned is not None else None,
         "learned_weight": round(weight, 3),
         "kept_away_from_s": {name: round(left / 1e6, 1) for name, left in sorted(out.items())},
@@ -164,15 +160,15 @@
     try:
         ours = [n for n in files.names() if _ours(n)]
         if not yes:
-            raise _complain(folder, f"{len(ours)} files would be removed; say --yes")
+            complain(f"{folder}: {len(ours)} files would be removed; say --yes")
         if not files.lock():
-            raise _complain(folder, "is in use by a running node")
+            complain(f"{folder}: is in use by a running node")
         for name in ours:
             files.remove(name)
         files.sync_folder()
         files.unlock()
     except OSError as error:
-        raise _complain(folder, error.strerror or error) from None
+        complain(f"{folder}: {error.strerror or error}")
     print(f"{folder}: {len(ours)} files removed")
 
 
--- a/sailrun/lasting/folder.py
+++ b/sailrun/lasting/folder.py
@@ -73,7 +73,6 @@
     torn: int = 0  # bytes after it
     goes_on: bool = False  # that journal is closed: the next entry is another's
     entries: int = 0
-    firm: int = 0
 
 
 def new_identity() -> str:
@@ -191,13 +190,14 @@
         except BadFile:
             # The last one, of which nothing but the head's place had come to the disk: it was never used. A
             # snapshot's own was synced before that.
-            if n == len(chain) - 1 and generation != base and files.size(name) <= HEAD_BYTES:
+            used = generation in snapshots or files.size(name) > HEAD_BYTES
+            if n == len(chain) - 1 and not used:
                 break
             raise
         if head.kind is Kind.ALONE and generation != base:
-            if files.size(name) > HEAD_BYTES:
+            if generation in snapshots or files.size(name) > HEAD_BYTES:
                 raise BadFile(f"{name}: its snapshot is missing or damaged")
-            break  # begun anew, and given up before it was used
+            continue  # begun anew, and given up before it was used
         if n and not goes_on:
             raise BadFile(f"journal.{generation - 1}: {torn_before or 'does not say that it goes on'}")
         if not base and not n:
@@ -225,7 +225,6 @@
         except ValueError as error:
             raise BadFile(f"{name}: {error}") from None
         found.position = frame.position
-        found.firm = max(found.firm, frame.firm)
         found.entries += 1
     if frames.firm_after > found.position:
         raise BadFile(f"{name}: spoilt after {found.position}: what followed was on the disk")
@@ -266,7 +265,6 @@
     handle: Handle
     entries: Iterator[e.Entry]
     count: int = 0
-    bytes: int = 0
 
 
 class Folder:
@@ -400,7 +398,7 @@
         data = pack_head(Head(Kind.SNAPSHOT, self.generation, self.identity, self.position))
         handle.write(data)
         self.written += len(data)
-        self._snapshot = _Snapshot(self.generation, handle, iter(entries), bytes=len(data))
+        self._snapshot = _Snapshot(self.generation, handle, iter(entries))
 
     def go_on_with_snapshot(self) -> bool:
         """Writes a part of it; whether it is done."""
@@ -426,7 +424,6 @@
         frame = Frame(content, made.count, self.firm, e.pack_many(many) if many else b"")
         data = pack_frame(self.identity, made.generation, frame)
         made.handle.write(data)
-        made.bytes += len(data)
         self.written += len(data)
 
     def _end_snapshot(self, made: _Snapshot) -> None:
--- a/sailrun/lasting/frames.py
+++ b/sailrun/lasting/frames.py
@@ -5,8 +5,7 @@
     0   8  magic, "sailrun" and a zero byte
     8   2  schema
     10  2  kind: 1 a journal that goes on from the one before, 2 a snapshot, 3 a journal that stands on its
-    own
-           snapshot alone
+           own snapshot alone
     12  8  generation
     20  16 identity of the folder
     36  8  position: the last one before this journal, or that of the snapshot's state
@@ -16,8 +15,7 @@
 
     0   4  length of the content
     4   4  of the content: 0 an entry, 1 "the next generation goes on", 2 the end of a snapshot, 3 entries of
-    a
-           snapshot, as an array
+           a snapshot, as an array
     8   8  generation
     16  8  position; in a snapshot, how many entries there were up to the frame's end
     24  8  firm: up to which position everything was known to be on the disk when this was written
--- a/sailrun/lasting/ledger.py
+++ b/sailrun/lasting/ledger.py
@@ -64,11 +64,10 @@
         self.notes: list[tuple[str, dict[str, object]]] = []  # for the log; emptied by whoever drives this
         self.dropped = 0  # answers that were never sent
         self.on_dropped: Callable[[Any], None] = lambda answer: None
-        self.waited_us: list[int] = []  # how long answers waited, the latest ones; for the figures
         self._entries: list[Entry] = []
         self._bytes = 0
         self._since_us = -1  # when the first of them was made
-        self._held: dict[Hashable, tuple[int, int, Any]] = {}  # by what: position, since when, the answer
+        self._held: dict[Hashable, tuple[int, Any]] = {}  # by what: the position it waits for, the answer
         self._out: Work | None = None
         self._out_us = 0
         self._journal_bytes = 0
@@ -100,6 +99,7 @@
     def renew(self, identity: bytes) -> None:
         """The folder is older than what the fleet knows: another one is begun."""
         self._drop_entries()
+        self._drop_held()
         self._identity = identity
         self._again_us = 0
 
@@ -114,12 +114,11 @@
         instead.
         """
         self._now_us = now_us
-        before = self._held.pop(key, None)
-        since_us = before[1] if before is not None and before[0] == position else now_us
+        self._held.pop(key, None)
         while len(self._held) >= MOST_HELD:
             self.dropped += 1
-            self.on_dropped(self._held.pop(next(iter(self._held)))[2])
-        self._held[key] = (position, since_us, answer)
+            self.on_dropped(self._held.pop(next(iter(self._held)))[1])
+        self._held[key] = (position, answer)
 
     @property
     def able(self) -> bool:
@@ -189,13 +188,8 @@
         if self.disk is not Disk.ABLE:
             self._turn_to(Disk.ABLE)
         self.synced, self._journal_bytes = max(self.synced, done.position), done.journal_bytes
-        ready = [key for key, (position, _, _) in self._held.items() if position <= self.synced]
-        answers = []
-        for key in ready:
-            _, since_us, answer = self._held.pop(key)
-            self.waited_us = [*self.waited_us[-99:], now_us - since_us]
-            answers.append(answer)
-        return answers
+        ready = [key for key, (position, _) in self._held.items() if position <= self.synced]
+        return [self._held.pop(key)[1] for key in ready]
 
     def _turn_to(self, disk: Disk, **facts: object) -> None:
         self.disk = disk
@@ -204,5 +198,5 @@
     def _drop_held(self) -> None:
         held, self._held = self._held, {}
         self.dropped += len(held)
-        for _, _, answer in held.values():
+        for _, answer in held.values():
             self.on_dropped(answer)
--- a/sailrun/lasting/standing.py
+++ b/sailrun/lasting/standing.py
@@ -4,12 +4,10 @@
 voter has the others note how far its folder has come, in their own, and promises nothing before a majority
 has. A voter that starts asks them first:
 
-- one that goes by its folder (`ASKS`) votes once a majority, itself among it, has answered, the other voters
-that
+- one that goes by its folder (`ASKS`) votes once a majority, itself among it, has answered, the others that
   live were waited for a moment, and nobody knew a newer life or a later position of it;
 - one that has none to go by (`LEARNS`) takes a life above all that a majority knows, has a majority note it,
-and
-  is to be told everything else by the others: no older folder under its name is gone by from then on.
+  and is to be told everything else by the others: no older folder under its name is gone by from then on.
 
 What was promised is so missed in one case alone: no voter that noted it is there when an older folder starts.
 """
@@ -88,10 +86,6 @@
         if "generation" in self._off and sound:
             self.trust = Trust.TRUSTED
 
-    @property
-    def goes_by_folder(self) -> bool:
-        return self.trust in (Trust.ASKS, Trust.TRUSTED)
-
     @property
     def registered(self) -> bool:
         """Whether no older folder of this voter can be gone by any more."""
@@ -139,6 +133,10 @@
                 if self.trust is Trust.LEARNED:
                     own.life, self.trust = answer.life + 1, Trust.LEARNS
                     self._ask_again()
+                elif self.trust is Trust.TRUSTED:
+                    # Out of reach when this voter asked: its folder is an older one after all.
+                    known = Noted(self._name, answer.identity, answer.life, answer.position, answer.run)
+                    self.trust, self.newest, self.why_old = Trust.OLD, known, "a later life is known"
                 return
             self._told[sender] = max(telling[1], self._told.get(sender, 0))
             return
@@ -168,7 +166,11 @@
             self.trust, self.newest, self.why_old = Trust.OLD, known, why
 
     def known(self, position: int) -> bool:
-        """Whether a majority knows that this folder has come so far."""
+        """Whether a majority knows that this folder has come so far. What was found at the start was compared
+        with what they know.
+        """
+        if self.own is not None and self.trust is Trust.TRUSTED and position <= self.own.loaded:
+            return True
         return self._majority({self._name, *(n for n, told in self._told.items() if told >= position)})
 
     def begin_anew(self, identity: str) -> None:
--- a/sailrun/owners/backing.py
+++ b/sailrun/owners/backing.py
@@ -15,7 +15,7 @@
 
 from sailrun.lasting import entries as e
 from sailrun.lasting.folder import uncollected
-from sailrun.lasting.ledger import Disk, Done
+from sailrun.lasting.ledger import Done
 from sailrun.lasting.messages import Stand, Stood
 from sailrun.lasting.standing import Own, Standing, Trust
 from sailrun.owners.lasting import Book, Lasting, known_slots, replica_entries, voter_entries
@@ -163,12 +163,24 @@
         if isinstance(body, Grant) and voter is not None:
             position = voter.position(body.task)  # a renewal rests on the grant alone
         if ledger.ready(position):
-            return False
-        if ledger.disk is Disk.ABLE:
+            return self._waits_for_notes(position, name, body)
+        if ledger.able:
             key = (name, type(body), body.term if isinstance(body, Grant) else body.number)
             ledger.hold(now_us, position, key, (name, body))
         return True
 
+    def _waits_for_notes(self, position: int, name: str, body: Any) -> bool:
+        """Whether what is on the disk is promised again, or renewed, before a majority knows that it is
+        there.
+        """
+        own = self.standing.own
+        told = isinstance(body, TOLD) and self._voter() is not None and not self._off & {"generation", "sync"}
+        if not told or own is None or self._lasting is None or self.standing.known(position):
+            return False
+        own.synced = self._lasting.ledger.synced  # told to the others at the next turn
+        self._untold = [*self._untold[-MOST_UNTOLD:], (position, name, body)]
+        return True
+
     def when_kept(self, now_us: int, call: Callable[[bool], None]) -> None:
         """Calls with whether all that was written so far is on the disk: once it is, or at once where there
         is none, or it fails.
@@ -176,7 +188,7 @@
         ledger = self._lasting.ledger if self._lasting is not None else None
         if ledger is None or ledger.ready(ledger.position):
             call(True)
-        elif ledger.disk is not Disk.ABLE:
+        elif not ledger.able:
             call(False)
         else:
             ledger.hold(now_us, ledger.position, call, call)
@@ -280,6 +292,7 @@
         lasting.identity = lasting.new_identity()
         standing.begin_anew(lasting.identity)
         self._trusted = standing.trust
+        self._untold.clear()  # promised by what is not gone by any more
         lasting.ledger.renew(bytes.fromhex(lasting.identity))
         voter, keeper = self._voter(), self._replica.keeper if self._replica is not None else None
         if voter is not None:
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -20,7 +20,7 @@
 from sailrun.lab.faults.killing import cut_at, entry_of, everything, kill_often, last_of, write
 from sailrun.lab.faults.nemesis import PLANS
 from sailrun.lab.faults.play import LASTING, FaultDay, agent_terms, play_virtual
-from sailrun.lab.faults.virtual import VirtualFleet
+from sailrun.lab.faults.virtual import VirtualFleet, VirtualNode
 from sailrun.lab.scheduler import BEGIN_US
 from sailrun.lasting import beliefs
 from sailrun.lasting import entries as e
@@ -32,6 +32,8 @@
 from sailrun.lasting.scribe import Scribe
 from sailrun.lasting.standing import GRACE_US, Own, Standing, Trust
 from sailrun.lasting.terms import LastingTerms
+from sailrun.owners.agent import Out
+from sailrun.owners.messages import Ask, Grant
 from sailrun.owners.voter import Slot
 from sailrun.replica.messages import Op
 from sailrun.replica.records import written
@@ -414,7 +416,7 @@
 
 @pytest.mark.parametrize("rule", ["sync", "generation", "folder"])
 def test_each_rule_of_folders_is_missed_when_it_is_off(rule: str) -> None:
-    plan = "lasting-all" if rule == "sync" else "lasting"
+    plan = "lasting" if rule == "generation" else "lasting-all"
     for seed in range(1, 20):
         played = play_virtual(FaultDay(plan, seed, off=frozenset([rule])))
         if any(c.value > 0 for c in played.checks):
@@ -562,3 +564,59 @@
         n.agent.voter for n in fleet.nodes.values() if n.agent is not None and n.agent.voter is not None
     ]
     return [v.slots()[task] for v in voters if task in v.slots()]
+
+
+def test_nothing_is_promised_twice_before_a_majority_knows_of_it() -> None:
+    """A voter that reaches the candidate and no other voter: the second ask finds the grant on its disk."""
+    fleet = a_fleet()
+    node = fleet.nodes["n0"]
+    agent = node.agent
+    assert agent is not None
+    sent: list[Grant] = []
+    put = fleet._put
+
+    def collect(sender: VirtualNode, out: Out) -> None:
+        if sender is node and isinstance(out.envelope.body, Grant) and out.envelope.body.task == "t":
+            sent.append(out.envelope.body)
+        put(sender, out)
+
+    fleet._put = collect  # type: ignore[method-assign, assignment]
+    cut = fleet.cut(["n0"], ["n1", "n2"])
+    for number in (1, 2, 3):
+        ask = Ask("t", 2**52, number, agent.voters.stage, number > 1)
+        fleet._send(node, agent._heard(fleet.clock_us(node), "n4", 1, ask))
+        fleet.run(now_s(fleet) + 0.5)
+    assert not sent
+    fleet.heal(cut)
+    fleet.run(now_s(fleet) + 1.0)
+    assert sent
+
+
+def test_a_voter_told_later_that_its_folder_is_older_goes_by_it_no_more() -> None:
+    others = {"n2": stand("n2"), "n3": stand("n3")}
+    first = stand("n1")
+    first.take_up(Own("aa", 1, 7, 0, 0), False, {})
+    for at_us in (0, SECOND):
+        asks(first, others, at_us)
+    others["n2"].notes.clear()  # n2 knows nothing, n3 is out of reach
+    older = stand("n1")
+    older.take_up(Own("aa", 2, 3, 20, 20), True, {})
+    asks(older, {"n2": others["n2"]}, 0)
+    older.turn(0)
+    older.turn(GRACE_US + SECOND)
+    assert older.trust is Trust.TRUSTED and older.own is not None
+    older.own.synced = 25
+    asks(older, others, 9 * SECOND)
+    assert not older.registered and older.why_old == "a later life is known"
+
+
+def test_a_generation_that_stands_alone_is_not_passed_over_where_its_snapshot_is_damaged() -> None:
+    files = kept(30)
+    folder = Folder(files, read_folder(files))
+    folder.go_on()
+    last = last_of(read_folder(files).memory)
+    folder.stand_anew(everything(last), folder.position)
+    found = read_folder(files)
+    assert found.sound is Sound.SOUND and last_of(found.memory) == last
+    files._names[f"snapshot.{found.generation}"].data[80] ^= 1
+    assert read_folder(files).sound is Sound.DOUBTFUL
--- a/tests/test_lasting_processes.py
+++ b/tests/test_lasting_processes.py
@@ -146,6 +146,18 @@
     assert refused(tmp_path, roster, kept).endswith("lasting.folder: of schema 2; this version reads up to 1")
 
 
+def test_a_folder_that_cannot_be_written_costs_nothing_but_what_it_would_keep(
+    tmp_path: Path, servers: list[FormServer]
+) -> None:
+    (tmp_path / "kept" / "lock").mkdir(parents=True)  # the lock cannot be had, whoever the user is
+    operator = operator_of(tmp_path, tmp_path / "kept")
+    with node(tmp_path, Roster([s.entry() for s in servers]), operator=operator) as running:
+        running.logged("lasting-failed", "Is a directory")
+        assert running.ask().hear()
+        running.process.send_signal(signal.SIGTERM)
+        assert running.process.wait(PATIENCE_S) == 0
+
+
 def test_a_process_that_is_replaced_hands_its_folder_over(fleet: Fleet, servers: list[FormServer]) -> None:
     one = servers[0].name
     assert staff(fleet, "n2", "set-down", one, "--wait", "all").returncode == 0
