Keep the list fresh within 6 s whatever fails, and watch where lists are pushed

Cause, read in the code: the module subscribes only where lists are asked for (_follow in decide.py), so nobody read what was pushed. Elsewhere a silent watch was found out after mustAskInUs + 2 s (12 s), and calls after failures were spaced by up to 7.5 s: roster.py (_wait_us, GRACE_US) and _follow.

Now roster.py alone owns how fresh the list is. It watches from the start on, always, and spends the 6 s in one place: wait, what an answer may take, spacing. An agent of the node's own is asked again at once. An older revision changes nothing unless the roster says it twice; after SIGHUP the whole list is asked for until it has come, and an answer in hand from the old address is dropped.

--- a/sailrun/owners/shared.py
+++ b/sailrun/owners/shared.py
@@ -34,7 +34,7 @@
     ) -> None:
         self._node, self._agent, self._carrier = node, agent, carrier
         self.clock, self.settings = node.clock, node.settings  # what a client asks of a node
-        self._client = RosterClient(self, source.address, revision)  # type: ignore[arg-type]
+        self._client = RosterClient(self, source.address, revision, node.settings.index)  # type: ignore[arg-type]
         self._reading = Reading(show_address(source.address), agent.terms.reader, boot_us())
         self._listed: dict[str, FormServer] = {}
         self._watching = False
--- a/sailrun/roster.py
+++ b/sailrun/roster.py
@@ -4,19 +4,29 @@
 
 import json
 import math
+from random import Random
 from typing import Any
 
 import anyio
 
 from sailrun.connection import split_address
 from sailrun.http_calls import CallFailed, HttpCalls
-from sailrun.interface import BackendState, ListKind
+from sailrun.interface import BackendState, Discovery, ListKind
 from sailrun.node.core import Node
 from sailrun.node.session import FormServer, RosterNews
 
 SECOND = 1_000_000
-# How long past the wait it was asked for an answer may take before the call counts as failed.
-GRACE_US = 2 * SECOND
+# From any moment on at which the roster can be reached, a fresh answer is here within the time after which
+# all that it has to tell counts as told: 6 s. That time is spent here, and nowhere else. In the worst case
+# - a call had begun just before and is refused: the next begins `APART_US` after it, takes `CALL_US`: 5.6 s;
+# - a watch falls silent as it begins: it is given up `WAIT_US` and `LATE_US` later, then the next call begins
+#   within `SOON_US` and takes `CALL_US`, 5.8 s.
+CALL_US = 2 * SECOND
+APART_US = 3_600_000
+WAIT_US, LATE_US, SOON_US = 2_500_000, SECOND // 2, 800_000
+# Calls of all nodes to one roster are spread so far apart, further by failures, as far as the above allows.
+# One that pushes is reached through an agent of this node's own, and what the agent has counts at once.
+ASK_US = SECOND // 10
 
 _STATES = {
     "SERVING": BackendState.READY,
@@ -76,53 +86,112 @@
 
 
 class RosterClient:
-    """The core's `Roster`. One task makes the calls, one after another, on one connection."""
+    """The core's `Roster`, and the owner of how fresh the list is. One task makes the calls, one after
+    another, on one connection. Once asked to watch it keeps watching, whatever fails, by the times above.
+    """
 
-    def __init__(self, node: Node, address: tuple[str, int], revision: int) -> None:
+    def __init__(self, node: Node, address: tuple[str, int], revision: int, seed: int) -> None:
         self._node = node
         self._http = HttpCalls(node.clock, address)
         self._revision = revision
-        # A watch that stays quiet is renewed as often as a node without one would have to ask.
-        self._wait_us = node.settings.must_ask_in_us or 10 * SECOND
+        self._random = Random(seed)
+        settings = node.settings
+        # Without a watch a node is held to its list for so long, where it has to ask.
+        self._wait_us = min(settings.must_ask_in_us or WAIT_US, WAIT_US)
+        self._shared = settings.discovery is Discovery.ASK
+        self._apart_us = ASK_US * (settings.instances if self._shared else 1)
+        self._failures = 0
+        self._call_at_us = 0  # not before: calls are spread at the start and after failures
+        self._took = -1  # the newest revision that an answer from this address brought
+        self._older = -1  # the revision of a whole list older than that, seen just before
         self._watching = self._fetching = False
+        self._dropped = False
         self._wanted = anyio.Event()
 
     def watch(self, active: bool) -> None:
+        if active and not self._watching and self._took < 0 and not self._fetching:
+            self._spread(self._node.clock.now_us())
         self._watching = active
         self._wanted.set()
 
     def fetch(self) -> None:
+        """The whole list, at once."""
         self._fetching = True
+        self._call_at_us = 0
         self._wanted.set()
 
     def drop(self) -> None:
+        """Another roster counts from now on: what may still be on its way from this one does not."""
+        self._dropped = True
+        self._wanted.set()
         self._http.drop()
 
     async def run(self) -> None:
-        while True:
-            if not self._watching and not self._fetching:
+        while not self._dropped:
+            clock = self._node.clock
+            waits = not self._watching and not self._fetching
+            if waits or clock.now_us() < self._call_at_us:
                 self._wanted = anyio.Event()
-                await self._wanted.wait()
+                until = math.inf if waits else clock.moment(self._call_at_us)
+                with anyio.CancelScope(deadline=until):
+                    await self._wanted.wait()
                 continue
-            path, wait_us = "/registry/instances", 0
-            if not self._fetching:
-                # The next call of a watch goes out as soon as the last is answered: it must come within
-                # 200 ms, or a new watch begins and what changed in between is told late.
-                wait_us = self._wait_us
-                path += f"?after={self._revision}&wait_ms={wait_us // 1000}"
+            began_us, whole = clock.now_us(), self._fetching
             self._fetching = False
             try:
-                news = await self._call(path, self._node.clock.now_us() + wait_us + GRACE_US)
+                told = await self._call(began_us, whole)
+                if self._dropped:
+                    return
+                news = self._checked(told)
             except (CallFailed, BadRoster) as error:
-                self._watching = False  # the core asks again when it wants to
-                self._node.roster_failed(f"{type(error).__name__}: {error}")
+                self._fetching |= whole
+                self._failed(began_us, f"{type(error).__name__}: {error}")
                 continue
-            self._revision = news.revision
+            self._failures = 0
+            self._revision = self._took = news.revision
             self._node.roster_told(news)
 
-    async def _call(self, path: str, deadline_us: int) -> RosterNews:
+    async def _call(self, began_us: int, whole: bool) -> RosterNews:
+        path, deadline_us = "/registry/instances", began_us + CALL_US
+        if not whole:
+            # The next call of a watch goes out as soon as the last is answered: it must come within
+            # 200 ms, or a new watch begins and what changed in between is told late. If all waited as long,
+            # all would be renewed in step after a change.
+            wait_us = int(self._wait_us * (0.8 + 0.2 * self._random.random()))
+            path += f"?after={self._revision}&wait_ms={wait_us // 1000}"
+            deadline_us = began_us + wait_us + LATE_US
         body = await self._http.call("GET", path, b"", deadline_us)
         try:
             return read_news(json.loads(body))
         except (UnicodeDecodeError, json.JSONDecodeError, RecursionError) as error:
             raise BadRoster(f"no JSON: {error}") from None
+
+    def _checked(self, news: RosterNews) -> RosterNews:
+        """An answer older than one that was had before would put back what has changed since. A roster that
+        begins to count anew says so twice, with its whole list.
+        """
+        known = self._took if news.kind is ListKind.FULL else self._revision
+        if news.revision >= known:
+            self._older = -1
+            return news
+        again = news.kind is ListKind.FULL and 0 <= self._older <= news.revision
+        self._older = news.revision if news.kind is ListKind.FULL else -1
+        if not again:
+            self._fetching = True
+            raise BadRoster(f"revision {news.revision} is older than {known}")
+        return news
+
+    def _failed(self, began_us: int, why: str) -> None:
+        self._spread(began_us)
+        self._failures += 1
+        self._node.roster_failed(why)
+
+    def _spread(self, began_us: int) -> None:
+        """The next call begins some time before `APART_US` after the last one began, or soon if that is over:
+        the roster takes calls in turn, and more than it takes are all late.
+        """
+        now_us = self._node.clock.now_us()
+        doublings = min(self._failures, 10) if self._shared else 0
+        window_us = min(APART_US, self._apart_us << doublings)
+        until_us = max(began_us + window_us, now_us + min(window_us, SOON_US))
+        self._call_at_us = now_us + int(self._random.random() * (until_us - now_us))
--- a/sailrun/serve.py
+++ b/sailrun/serve.py
@@ -80,6 +80,7 @@
         self._open_doors = self._doors(config, _DOORS)
         self._roster, self._asking = self._roster_for(config), anyio.CancelScope()
         self.node.roster = self._roster
+        self._roster.watch(True)  # whether lists are asked for or pushed: what can be read counts as told
         self._switch(config)
         self._datagrams: Datagrams | None = None
         if config.settings.peer_messages and config.peer_listen is not None:
@@ -203,7 +204,7 @@
                 shared = (
                     self._fleet.roster(config.roster, self._revision) if self._fleet is not None else None
                 )
-                return shared or RosterClient(self.node, address, self._revision)
+                return shared or RosterClient(self.node, address, self._revision, config.seed)
             case EnvoyFiles(cluster, clusters, endpoints):
                 from sailrun.xds.rosters import FileRoster
 
