Read last words before a close, and ask for list and client again before bytes leave

Checked by reading shutdown, retries and closing line by line, and by probes over loopback (a form server whose connections stay on their way; a node stopped while two events come in): - households.py _set_up: a form server announced as leaving while it was dialled got the request after the dial. Node.takes is asked right before the first byte leaves; what is off counts as not sent and is tried elsewhere. - _set_up: where the dial succeeded and the household left in one turn, the request was sent on. Connection.stirs looks for what nobody has read yet right before the first byte. - run/_stand: a household's line that crossed MOVE, BUSY or the end met a closed socket, and the reset could take the last words with it. Both sides now end their sending and are read on for up to 0.25 s. - Whoever only rested was closed without a word, when crowded out, too late with its first line, or at the end of the process: now BUSY, as its request may be coming in just then. Those that part give way before those that wait. - http_calls.py: standing sessions could hold all descriptors when the roster's connection had to be made anew; one is kept back. - watch.py: a connection that went deaf right after a line was ended 7.1 s after it; 6.6 s now. Ruled out: cold form servers' budget in the module.

--- a/sailrun/connection.py
+++ b/sailrun/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import os
 import socket
@@ -141,12 +142,29 @@
             except (BlockingIOError, InterruptedError):
                 await anyio.wait_writable(self.sock)
 
+    def stirs(self) -> bool:
+        """Whether anything has come in that nobody has read yet: bytes, the other side's end, or a break."""
+        if self.ended:
+            return True
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+        return True
+
+    def stop_sending(self) -> None:
+        """The other side reads what it was sent, and then the end."""
+        with contextlib.suppress(OSError):  # it is gone already
+            self.sock.shutdown(socket.SHUT_WR)
+
     async def finish_sending(self) -> None:
         """Ends this side's sending and reads the other side to its end, so that bytes still under way do
         not break the connection before the last words are read. The caller's cancel scope bounds it, and
         so does the amount: one that sends without end is not read for long.
         """
-        self.sock.shutdown(socket.SHUT_WR)
+        self.stop_sending()
         dropped = len(self.take())
         while dropped < LAST_WORDS and await self.fill():
             dropped += len(self.take())
--- a/sailrun/front.py
+++ b/sailrun/front.py
@@ -22,10 +22,11 @@
 # A front door that is shut because a new configuration names another address: its connections have ended
 # by then, and what stands is moved in so many steps.
 LEAVE_BY_US, LEAVE_STEPS = 1_500_000, 15
+PARTING_LOOK_S = 0.02
 
 
 class WaitingRoom:
-    """The connections that have not asked for a form session yet, oldest first.
+    """The connections that have not asked for a form session yet, oldest first, and those that part.
 
     Only so many may wait. Whoever connects by the hundred and stays silent pushes out its like, not the
     households, which ask as soon as they are connected, nor the form servers and the roster.
@@ -34,21 +35,46 @@
     def __init__(self, descriptors: int) -> None:
         self._most = max(FEWEST_WAITING, min(MOST_WAITING, descriptors // 3 - KEPT_BACK))
         self._waiting: dict[anyio.CancelScope, None] = {}
+        self._parting: dict[anyio.CancelScope, None] = {}  # answered, and read from to their end
+        self._shut = False
 
     def enter(self, scope: anyio.CancelScope) -> None:
         """The scope is cancelled if the connection has to go before it has asked."""
         self._waiting[scope] = None
-        if len(self._waiting) > self._most:
-            self.make_room()
+        if self._shut:
+            scope.cancel()
+        self._bound()
+
+    def part(self, scope: anyio.CancelScope) -> None:
+        """The scope is cancelled if the connection has to go before the other side has ended it."""
+        self._parting[scope] = None
+        self._bound()
 
     def leave(self, scope: anyio.CancelScope) -> None:
         self._waiting.pop(scope, None)
+        self._parting.pop(scope, None)
+
+    def _bound(self) -> None:
+        if len(self._waiting) + len(self._parting) > self._most:
+            self.make_room()
 
     def make_room(self) -> None:
-        if self._waiting:
-            oldest = next(iter(self._waiting))
-            del self._waiting[oldest]
-            oldest.cancel()
+        """Whoever has had its answer goes first, or each that has to go would push out the next."""
+        for ones in (self._parting, self._waiting):
+            if ones:
+                oldest = next(iter(ones))
+                del ones[oldest]
+                oldest.cancel()
+                return
+
+    async def empty(self, deadline: float) -> None:
+        """The node ends: sends away whoever has not asked, and waits until all have gone, or the deadline."""
+        self._shut = True
+        for scope in list(self._waiting):
+            scope.cancel()
+        with anyio.CancelScope(deadline=deadline):
+            while self._waiting or self._parting:
+                await anyio.sleep_until(anyio.current_time() + PARTING_LOOK_S)
 
 
 def descriptors_allowed(stated: int | None) -> int:
--- a/sailrun/http_calls.py
+++ b/sailrun/http_calls.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
+import os
+import sys
+
 import anyio
 import h11
 
-from sailrun.connection import Connection, Overlong, connect, show_address
+from sailrun.connection import Connection, OutOfDescriptors, Overlong, connect, show_address
 from sailrun.node.clock import Clock
 
 LONGEST_ANSWER = 4 * 1024 * 1024
@@ -21,6 +25,7 @@
         self._address = address
         self._connection: Connection | None = None
         self._http = h11.Connection(h11.CLIENT)
+        self._spare: int | None = None
 
     def drop(self) -> None:
         if self._connection is not None:
@@ -44,9 +49,23 @@
             raise CallFailed("no answer in time")
         return answer
 
+    async def _connect(self) -> Connection:
+        """One descriptor is kept back for this: households may hold all others when a list is wanted."""
+        if self._spare is None:
+            with contextlib.suppress(OSError):
+                self._spare = os.dup(sys.stderr.fileno())
+        try:
+            return await connect(self._address, LONGEST_ANSWER)
+        except OutOfDescriptors:
+            if self._spare is None:
+                raise
+            os.close(self._spare)
+            self._spare = None
+            return await connect(self._address, LONGEST_ANSWER)
+
     async def _call(self, method: str, target: str, body: bytes) -> bytes:
         if self._connection is None:
-            self._connection = await connect(self._address, LONGEST_ANSWER)
+            self._connection = await self._connect()
             self._http = h11.Connection(h11.CLIENT)
         connection, http = self._connection, self._http
         headers = [("Host", show_address(self._address))]
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -140,6 +140,17 @@
     def told_load(self, session: FormSession, load: float) -> None:
         self._post(self._told_load, session, load)
 
+    def takes(self, placement: Placement) -> bool:
+        """Whether the form server of an attempt still takes newcomers where it was: the list may have told
+        otherwise while the attempt was on its way.
+        """
+        known = self._form_servers.get(placement.form_server.number)
+        return (
+            known is not None
+            and known.address == placement.form_server.address
+            and self._as_it_takes(known).state is i.BackendState.READY
+        )
+
     def line_out(self, session: FormSession) -> None:
         """A household's line went to its form server."""
         session.unanswered.append(self.clock.now_us())
--- a/sailrun/node/watch.py
+++ b/sailrun/node/watch.py
@@ -13,8 +13,9 @@
 # A form server is silent if for so long nothing at all came back while a line waited for its answer;
 # with several households waiting, chance is ruled out sooner.
 SILENT_US, SILENT_MANY_US, MANY = 2_500_000, 1_500_000, 3
-# One connection that returns nothing while others at the same form server do.
-DEAF_US = 5 * SECOND
+# One connection that returns nothing while others at the same form server do. It has to be ended within 7 s
+# of its last line; a household's next line comes up to 2 s after that one, and finds out.
+DEAF_US = 7 * SECOND - 2 * SECOND - SECOND // 2
 # What a form server has said itself of its delay holds so much longer than what was timed here.
 TOLD_US = 1_500_000
 
--- a/sailrun/platform/households.py
+++ b/sailrun/platform/households.py
@@ -28,7 +28,8 @@
 MOST_CHECKS = 16
 # A household is moved between two lines; a form server that leaves a line half said for so long is cut.
 HALF_LINE_US = SECOND // 2
-# What a household that was answered ERR still sends is read and dropped for so long.
+# What still comes from the other side after the last words is read and dropped for so long: a close over
+# unread bytes would reset the connection, and the last words with it.
 LAST_WORDS_US = SECOND // 4
 # So many of a household's lines are timed at once: one that sends thousands must not fill the memory.
 MOST_TIMED = 64
@@ -70,6 +71,7 @@
         self._node = front.node
         self._household = connection
         self._opening: Opening | None = None
+        self._id: str | None = None  # while it is in use here
         self._session: FormSession | None = None
         self._form_server: Connection | None = None  # once placed
         self._at: str | None = None
@@ -110,8 +112,8 @@
             raise ValueError(f"no session: {error!r}") from None
         if opening.id in front.ids:
             raise ValueError("its id is in use")
-        front.ids.add(opening.id)
         self = cls(front, Connection(household))
+        self._take_id(opening.id)
         self._household.restore(held, shown=False)
         self._form_server = Connection(server)
         self._form_server.restore(half_said, shown=True)
@@ -194,16 +196,18 @@
                     else:
                         await self._follow_orders()
                     self._group.cancel_scope.cancel()
+                self._forget()
                 if self._spoke_too_soon:
                     await self._turn_away("spoke-too-soon")
+                elif self._reason != "handed-over":
+                    await self._part_in_order()
         except* Overlong:
             self._reason = "line-too-long"
         except* OSError:
             self._reason, self._broken = "household-broke", True
         finally:
-            if self._session is not None and self._opening is not None:
-                self._front.ids.discard(self._opening.id)
-                self._node.left(self._session)
+            if self._session is not None:
+                self._forget()
                 if not self._answered and not self._household.ended:
                     # Its address is given up under it: it is owed an answer all the same.
                     with contextlib.suppress(OSError):
@@ -225,6 +229,13 @@
                     moved_for=self._session.why_moved if self._session else None,
                 )
 
+    def _forget(self) -> None:
+        """Nothing is asked for here any more; whatever is still read says nothing."""
+        if self._id is not None and self._session is not None:
+            self._front.ids.discard(self._id)
+            self._id = None
+            self._node.left(self._session)
+
     async def _opened(self, deadline_us: int) -> bool:
         """Reads the first line and asks the core for a form session; False if there is none to ask for."""
         line = await self._first_line(deadline_us)
@@ -242,13 +253,17 @@
         if self._household.held():
             await self._turn_away("spoke-too-soon")
             return False
-        self._front.ids.add(opening.id)
+        self._take_id(opening.id)
         # Unique here even if a household repeats its id.
         self._session = self._form_session(opening, f"{opening.id}.{now_us}", now_us + opening.wait_ms * 1000)
         self._reason = "unknown"
         self._node.ask(self._session)
         return True
 
+    def _take_id(self, id_: str) -> None:
+        self._front.ids.add(id_)
+        self._id = id_
+
     def _form_session(self, opening: Opening, id_: str, deadline_us: int) -> FormSession:
         return FormSession(
             id=id_,
@@ -277,26 +292,41 @@
                     await self._household.write(b"PONG\r\n" if self._node.admits else b"NO\r\n")
                     self._reason = "ping"
                 await self._turn_away("too-many-checks")
-            if scope.cancelled_caught and self._node.clock.now_us() < deadline_us:
-                self._reason = "crowded-out"
+            if scope.cancelled_caught:
+                # Its request may be coming in just now: this is its answer then.
+                crowded = self._node.clock.now_us() < deadline_us
+                await self._turn_away("crowded-out" if crowded else "no-first-line", b"BUSY\r\n")
         except Overlong:
             await self._turn_away("line-too-long")
         finally:
             self._front.waiting.leave(scope)
         return None
 
-    async def _turn_away(self, reason: str) -> None:
+    async def _turn_away(self, reason: str, answer: bytes = b"ERR\r\n") -> None:
         """Answers what is no request, and what no form server may get to see."""
         self._reason = reason
+        await self._part_in_order(answer)
+
+    async def _part_in_order(self, last_words: bytes = b"") -> None:
+        """Ends sending on both sides, and reads on until they have ended too, for a bounded time."""
         scope = anyio.CancelScope(deadline=self._node.clock.moment(self._node.clock.now_us() + LAST_WORDS_US))
-        self._front.waiting.enter(scope)  # it still holds a descriptor, and must not hold out others
+        self._front.waiting.part(scope)  # it still holds descriptors, and must not hold out others
         try:
-            with scope, contextlib.suppress(OSError):  # it did not wait for the answer
-                await self._household.write(b"ERR\r\n")
-                await self._household.finish_sending()
+            with scope:
+                async with anyio.create_task_group() as group:
+                    if self._form_server is not None and not self._broken:
+                        group.start_soon(self._see_out, self._form_server)
+                    if not self._broken:
+                        await self._see_out(self._household, last_words)
         finally:
             self._front.waiting.leave(scope)
 
+    async def _see_out(self, other: Connection, last_words: bytes = b"") -> None:
+        with contextlib.suppress(OSError):  # it did not wait for the answer
+            await other.write(last_words)
+            await other.finish_sending()
+        other.close()
+
     async def _hear_household(self) -> None:
         """Passes on what the household sends, and notices that it leaves."""
         assert self._session is not None
@@ -414,7 +444,10 @@
             # the same, or it would count the session as standing for ever.
             self._reason, self._broken = "household-broke", True
             outcome = Outcome.CANCELLED
-        server.close(abruptly=self._broken)
+        if self._broken or server.ended or self._reason == "handed-over":
+            server.close(abruptly=self._broken)
+        else:
+            server.stop_sending()  # and is read to its end when the household has parted
         return outcome
 
     async def _handed_over(self, server: Connection, take: Take) -> bool:
@@ -453,6 +486,12 @@
                 server = await connect(placement.form_server.address)
             if server is None:
                 return None, Outcome.CONNECT_FAILED
+            # Asked again right before bytes leave: whether somebody waits for the answer, and whether the
+            # form server takes newcomers.
+            if self._household.stirs():
+                return None, Outcome.CANCELLED
+            if self._session.resumed_at is None and not self._node.takes(placement):
+                return None, Outcome.NOT_SENT
             wait_ms = max(1, (placement.until_us - self._node.clock.now_us()) // 1000)
             await server.write(self._opening.for_form_server(wait_ms))
             sent = True
@@ -478,6 +517,7 @@
             return None, outcome
         except OutOfDescriptors:
             log("out-of-descriptors", doing="connect")
+            self._front.waiting.make_room()
             return None, Outcome.NOT_SENT
         except Overlong:
             return None, Outcome.ERROR
--- a/sailrun/serve.py
+++ b/sailrun/serve.py
@@ -17,7 +17,7 @@
 from sailrun.front import FrontDoor, descriptors_allowed
 from sailrun.node.clock import Clock, log
 from sailrun.node.core import Node
-from sailrun.platform.households import Households
+from sailrun.platform.households import LAST_WORDS_US, Households
 from sailrun.platform.neighbours import Datagrams, Probes
 from sailrun.roster import RosterClient
 
@@ -255,6 +255,10 @@
             finally:
                 roster.drop()  # an old address keeps no connection
 
+    async def see_out(self) -> None:
+        """Everybody who asked has been answered: whoever only rests here is told so, and read to the end."""
+        await self._households.waiting.empty(anyio.current_time() + 2 * LAST_WORDS_US / 1e6)
+
     def reload(self) -> None:
         """Takes over the file as it is now. One that is not usable changes nothing and is logged once."""
         try:
@@ -371,6 +375,7 @@
             control=show_address(config.control) if config.control else None,
         )
         await service.node.run()
+        await service.see_out()
         group.cancel_scope.cancel()
     log("stopped", name=config.name)
 
