--- a/sailrun/cli.py
+++ b/sailrun/cli.py
@@ -31,7 +31,7 @@
     Path | None, typer.Option("--sidecar", help="A sidecar's TOML; then no platform is asked.")
 ]
 # Name, objective, deadline and message aim of a class, as in the brief.
-DEFAULT_CLASS = "page-load:500:2000:50"
+DEFAULT_CLASS = "request:500:2000:50"
 
 
 @app.callback(invoke_without_command=True)
@@ -82,7 +82,7 @@
     application: str,
     out: Annotated[Path, typer.Option(help="The file to write; one that exists is left alone.")],
     amqp_listen: Annotated[str, typer.Option(help="Where AMQP 1.0 listens.")] = "127.0.0.1:5672",
-    zone: Annotated[str, typer.Option(help="The data centre this sidecar runs in.")] = "daejeon-1",
+    zone: Annotated[str, typer.Option(help="The data centre this sidecar runs in.")] = "zone-1",
     classes: Annotated[
         list[str] | None,
         typer.Option("--class", help="NAME:OBJECTIVE_MS:DEADLINE_MS:MESSAGE_MS, once for each class."),
