Read on at no connection that is closed already

Cause: since last words are read before a close, _part_in_order (households.py) read on at the form server's connection too, which _stand_to_the_end had closed where the form server had ended it; the household's own connection was then closed without being read on.

--- a/sailrun/connection.py
+++ b/sailrun/connection.py
@@ -169,9 +169,13 @@
         while dropped < LAST_WORDS and await self.fill():
             dropped += len(self.take())
 
+    @property
+    def closed(self) -> bool:
+        return self.sock.fileno() < 0
+
     def close(self, abruptly: bool = False) -> None:
         """Ends the connection; abruptly, the other side sees it broken."""
-        if self.sock.fileno() < 0:
+        if self.closed:
             return
         anyio.notify_closing(self.sock)
         if abruptly:
--- a/sailrun/platform/households.py
+++ b/sailrun/platform/households.py
@@ -314,7 +314,7 @@
         try:
             with scope:
                 async with anyio.create_task_group() as group:
-                    if self._form_server is not None and not self._broken:
+                    if self._form_server is not None and not self._form_server.closed:
                         group.start_soon(self._see_out, self._form_server)
                     if not self._broken:
                         await self._see_out(self._household, last_words)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -191,7 +191,12 @@
         self.amqp = self.control = ""
         self.lines: list[str] = []
         self._news = threading.Condition()
-        threading.Thread(target=self._read, daemon=True).start()
+        self._reader = threading.Thread(target=self._read, daemon=True)
+        self._reader.start()
+
+    def read_to_the_end(self) -> None:
+        """Once the process has ended: all that it has logged."""
+        self._reader.join(PATIENCE_S)
 
     def _read(self) -> None:
         assert self.process.stderr is not None
@@ -323,3 +328,5 @@
         finally:
             process.kill()
             process.wait()
+        running.read_to_the_end()
+        assert not [line for line in running.lines if " fault " in line], running.lines
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -185,6 +185,24 @@
     roster.stop()
 
 
+def test_a_form_servers_end_is_read_on_no_further(tmp_path: Path, near: FormServer) -> None:
+    roster = Roster([near.entry()])
+    with node(tmp_path, roster) as running:
+        household = running.ask()
+        assert household.hear() == "UP r1"
+        near.peers[0].say("BYE")
+        near.peers[0].end()
+        assert household.hear() == "BYE"
+        assert household.hear() == ""
+        household.say("page 3")
+        assert household.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_CLOSE_WAIT
+        household.close()
+        running.logged("ended", "reason=served")
+        running.terminate()  # a fault of the household's task would be logged by the time all have ended
+        assert running.process.wait(PATIENCE_S) == 0
+    roster.stop()
+
+
 def test_whoever_rests_when_the_node_ends_is_told_that_nothing_came_of_it(
     tmp_path: Path, near: FormServer
 ) -> None:
