Give back the descriptor kept for the roster when its address is given up

Found in reading the change over: each SIGHUP with a new roster address would have left one descriptor open, as drop() is also what a failed call does. HttpCalls.end() closes both; the descriptor's test counts them and fails without it.

--- a/sailrun/http_calls.py
+++ b/sailrun/http_calls.py
@@ -32,6 +32,13 @@
             self._connection.close()
             self._connection = None
 
+    def end(self) -> None:
+        """No more calls: nothing is held or kept back any more."""
+        self.drop()
+        if self._spare is not None:
+            os.close(self._spare)
+            self._spare = None
+
     async def call(self, method: str, target: str, body: bytes, deadline_us: int) -> bytes:
         """The answer's body. Whatever else comes back, or nothing by the deadline, is CallFailed."""
         answer: bytes | None = None
--- a/sailrun/roster.py
+++ b/sailrun/roster.py
@@ -124,7 +124,7 @@
         """Another roster counts from now on: what may still be on its way from this one does not."""
         self._dropped = True
         self._wanted.set()
-        self._http.drop()
+        self._http.end()
 
     async def run(self) -> None:
         while not self._dropped:
--- a/sailrun/xds/rosters.py
+++ b/sailrun/xds/rosters.py
@@ -167,7 +167,7 @@
         self._errors: dict[str, str] = {}
 
     def drop(self) -> None:
-        self._http.drop()
+        self._http.end()
 
     def _unreached(self, error: Exception) -> None:
         self.drop()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -231,6 +231,11 @@
     listener = socket.create_server(("127.0.0.1", 0))
 
     async def connect_twice() -> None:
+        before = os.listdir("/proc/self/fd")
+        ended = HttpCalls(Clock(), listener.getsockname())
+        (await ended._connect()).close()
+        ended.end()
+        assert os.listdir("/proc/self/fd") == before
         calls = HttpCalls(Clock(), listener.getsockname())
         (await calls._connect()).close()
         resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))
