--- /dev/null
+++ b/sailrun/node/around.py
@@ -0,0 +1,26 @@
+"""What the core asks of those around it. None of these calls waits."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from sailrun.node.session import FormServer
+
+
+class Roster(Protocol):
+    """Where the core asks for the list of form servers."""
+
+    def watch(self, active: bool) -> None: ...
+    def fetch(self) -> None: ...
+
+
+class Neighbours(Protocol):
+    """The other nodes of the tier."""
+
+    def tell(self, neighbour: int | None, content: bytes) -> None: ...
+
+
+class Prober(Protocol):
+    """Whoever can ask a form server whether it runs."""
+
+    def probe(self, form_server: FormServer, until_us: int) -> None: ...
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any
 
 import anyio
 
@@ -20,6 +20,7 @@
 from sailrun import recollection
 from sailrun.decide import Balancer
 from sailrun.fleet.rounds import Holding, Outgoing, Rounds
+from sailrun.node.around import Neighbours, Prober, Roster
 from sailrun.node.aside import Aside
 from sailrun.node.clock import Clock, log
 from sailrun.node.counts import Counts, Figures
@@ -40,25 +41,6 @@
 PULSE_US = 10 * SECOND
 
 
-class Roster(Protocol):
-    """Where the core asks for the list of form servers."""
-
-    def watch(self, active: bool) -> None: ...
-    def fetch(self) -> None: ...
-
-
-class Neighbours(Protocol):
-    """The other nodes of the tier."""
-
-    def tell(self, neighbour: int | None, content: bytes) -> None: ...
-
-
-class Prober(Protocol):
-    """Whoever can ask a form server whether it runs."""
-
-    def probe(self, form_server: FormServer, until_us: int) -> None: ...
-
-
 class Node:
     """The core. `run` drives it by the clock; whoever keeps the time himself calls `start`, and `turn`
     whenever `due_us` has come or a tick after `wake` was called.
