Part the placement hashes and the tracked state out of the decision module

Change: sailrun/rendezvous.py has the two hashes, sailrun/tracked.py what is kept of each backend and request.

--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -12,14 +12,13 @@
 from itertools import islice, takewhile
 from random import Random
 
-import mmh3
-
 from sailrun import interface as i
 from sailrun import recollection
+from sailrun.rendezvous import MASK, key_hash
+from sailrun.tracked import LIMIT_US, NOTE_US, TrackedBackend, TrackedRequest
 from sailrun.validate import check_settings
 
-SERVER_SEED, KEY_SEED = 165233, 845219
-MASK, LANE = 0xFFFFFFFF, 8
+LANE = 8  # bytes of one product among many
 SECOND = 1_000_000
 
 PUMP, FOLLOW = 1, 2  # the tokens of the instance's timers
@@ -32,14 +31,14 @@
 # How far down a key's order of scores to look. A heavy group spreads so that each of its backends gets
 # about so many fair loads of it. A class's mean load rests on about so many of its latest notes.
 DEPTH, SPREAD, CLASS_NOTES = 24, 0.7, 200
-# A delay note older than this says nothing any more. What breaks within so long broke for one reason.
-NOTE_US, BURST_US = 2_500_000, 1 * SECOND
+# What breaks within so long broke for one reason.
+BURST_US = 1 * SECOND
 # What a set-up usually takes: the lower quarter of so many latest ones, once there are a few.
 LATEST_TOOK, FEW_TOOK = 64, 8
 # Bounded loads: the multiple of the fair share, its roots, connections; more slots while others are heard.
 BOUND, BOUND_ROOT, BOUND_MORE, SLOTS_HEARD, SLOTS_MANY, BOLD, MANY = 1.15, 1.0, 1.0, 3.0, 8.0, 1.6, 16
-# A crowded backend's limit: at most one cut in so long, to this share; its growth a second.
-LIMIT_US, LIMIT_CUT, LIMIT_GROWTH = 900_000, 0.85, 0.1
+# A crowded backend's limit: the share that one cut leaves of it; its growth a second.
+LIMIT_CUT, LIMIT_GROWTH = 0.85, 0.1
 # From this multiple of the shortest aim on, this share moves a second; at a drain, all by this of the grace.
 MOVE_AT, MOVE_SHARE, MOVE_BY = 1.0, 0.2, 0.9
 # The pace: how often it falls, its fall, least, growth; the usual rate's time, the multiple that frees it.
@@ -51,56 +50,6 @@
 NEVER_RAN = (i.Outcome.REJECTED, i.Outcome.CONNECT_FAILED, i.Outcome.NOT_SENT)
 
 
-def server_hash(backend_id: int) -> int:
-    """MurmurHash3 of a backend's id, written in decimal."""
-    return mmh3.hash(str(backend_id), SERVER_SEED, signed=False)
-
-
-def key_hash(key: str) -> int:
-    return mmh3.hash(key, KEY_SEED, signed=False)
-
-
-class _Server:
-    """What this instance knows of one backend."""
-
-    def __init__(self, entry: i.Backend) -> None:
-        self.id, self.hash = entry.id, server_hash(entry.id)
-        self.zone, self.cell, self.capacity = entry.zone, entry.cell, entry.capacity
-        self.open: dict[str, _Request] = {}  # connections that stand, in the order they came
-        self.pending, self.load = 0, 0.0  # attempts out that do not stand yet; of these and what is open
-        self.told_us, self.started_us = 0, -1  # when this instance was told that it drains or is gone
-        self.state = self.listed = i.BackendState.GONE  # as listed it may be ready, and out by hand
-        self.forget()
-
-    def held(self) -> float:
-        """The load known of: this relay's and, while it hears of them, the others'."""
-        return self.load + self.others
-
-    def forget(self) -> None:
-        """A new process under this id: what was seen of the old one says nothing."""
-        self.ejected_until = self.ejections = self.strikes = self.errors = self.resets = 0
-        self.others, self.warned_us = 0.0, 0  # what other relays hold there; they find it late, until then
-        self.trial = False  # ejected before; not yet seen to work again
-        self.delay_ms = 0.0
-        self.delay_us = self.resets_us = self.missed_us = -NOTE_US
-        self.late_ms, self.late_us = 0.0, 0  # how much longer than usual set-ups take here
-        self.limit, self.limit_us = math.inf, -LIMIT_US  # on the load known of, learned from crowding
-        # The start of its warm-up, -1: warm; the slots it has for this relay, and since when.
-        self.cold_from_us, self.tokens, self.token_us = -1, 0.0, 0
-
-
-class _Request:
-    def __init__(self, name: str, cls: i.RequestClass, hashed: int, deadline_us: int) -> None:
-        self.id, self.cls, self.hash, self.deadline_us = name, cls, hashed, deadline_us
-        self.at: _Server | None = None  # where its attempt is out, or its connection stands
-        self.tried: tuple[_Server, ...] = ()
-        self.ran_at: _Server | None = None  # the first attempt that may have run
-        self.attempts = self.sent_us = self.ran_us = 0
-        self.opened = self.mid_flow = False
-        self.client = 0  # hash of the client's own key where a group key decides; 0: none
-        self.load, self.not_before_us = 1.0, 0  # after an error it is not sent again before this
-
-
 class Balancer:
     """One relay's decisions. Pure: time comes with each event, chance from the seed."""
 
@@ -110,12 +59,12 @@
         self._classes = {cls.name: cls for cls in settings.classes}
         aims = [cls.message_objective_us for cls in settings.classes if cls.message_objective_us > 0]
         self._aim_ms = min(aims) / 1_000 if aims else 0.0
-        self._servers: dict[int, _Server] = {}
-        self._ready: list[_Server] = []  # listed ready, by id
+        self._servers: dict[int, TrackedBackend] = {}
+        self._ready: list[TrackedBackend] = []  # listed ready, by id
         self._hand: frozenset[int] = frozenset()  # out by hand
         self._hashes = self._lanes = 0  # their hashes in the same order, and MASK, in lanes of 64 bits
-        self._requests: dict[str, _Request] = {}
-        self._held: dict[str, _Request] = {}
+        self._requests: dict[str, TrackedRequest] = {}
+        self._held: dict[str, TrackedRequest] = {}
         self._pump_set = self._follow_set = False
         self._token, self._moves = FOLLOW, dict[int, str]()  # who leaves a draining backend, by timer
         self._load, self._count, self._capacity = 0.0, 0, 0.0
@@ -155,7 +104,7 @@
         ones = [r for r in map(self._requests.get, names) if r is not None and r.opened and r.at is not None]
         if not ones or (holder := ones[0].at) is None:
             return None
-        newcomer = _Request("", ones[0].cls, ones[0].hash, 0)
+        newcomer = TrackedRequest("", ones[0].cls, ones[0].hash, 0)
         newcomer.client, newcomer.load = ones[0].client, sum(r.load for r in ones)
         for request in ones:
             self._weigh(request, holder, -1.0)
@@ -217,7 +166,7 @@
     def _entry(self, entry: i.Backend) -> None:
         server = self._servers.get(entry.id)
         if server is None:
-            server = self._servers[entry.id] = _Server(entry)
+            server = self._servers[entry.id] = TrackedBackend(entry)
         server.zone, server.cell = entry.zone, entry.cell
         server.capacity = entry.capacity if entry.capacity > 0 else 1.0
         if entry.started_us != server.started_us:
@@ -244,7 +193,7 @@
         shut = (s for s in self._servers.values() if s.id in self._hand or s.ejected_until > now_us)
         return [s.id for s in shut if s.listed is not i.BackendState.GONE]
 
-    def _state(self, server: _Server, state: i.BackendState) -> None:
+    def _state(self, server: TrackedBackend, state: i.BackendState) -> None:
         server.listed = state
         if state is i.BackendState.READY and server.id in self._hand:
             state = i.BackendState.DRAINING
@@ -269,10 +218,10 @@
 
     # ------------------------------------------------------------------ arrivals
 
-    def _new(self, event: i.RequestArrived | i.ConnectionResumed, left_us: int) -> _Request:
+    def _new(self, event: i.RequestArrived | i.ConnectionResumed, left_us: int) -> TrackedRequest:
         cls = self._classes.get(event.request_class, self._set.classes[0])
         key = key_hash(event.group_key or event.key or event.request)
-        request = self._requests[event.request] = _Request(event.request, cls, key, self._now + left_us)
+        request = self._requests[event.request] = TrackedRequest(event.request, cls, key, self._now + left_us)
         request.client = key_hash(event.key or event.request) if event.group_key else 0
         self._expect(request, event.load_hint)
         return request
@@ -286,12 +235,14 @@
         request = self._new(event, 0)
         server = self._servers.get(event.backend)
         if server is None:  # not on any list yet: known by id alone, and not to be sent to
-            server = self._servers[event.backend] = _Server(i.Backend(event.backend, i.BackendState.GONE))
+            server = self._servers[event.backend] = TrackedBackend(
+                i.Backend(event.backend, i.BackendState.GONE)
+            )
         request.attempts, request.opened, request.at = 1, True, server
         self._weigh(request, server, 1.0)
         server.open[request.id] = request
 
-    def _expect(self, request: _Request, hint: float | None) -> None:
+    def _expect(self, request: TrackedRequest, hint: float | None) -> None:
         """The load to count for a new connection: its hint, else what its class was seen to load."""
         if hint is not None and hint > 0:
             self._told(request, hint)
@@ -308,7 +259,7 @@
 
     # ------------------------------------------------------------------ placing
 
-    def _place(self, request: _Request) -> None:
+    def _place(self, request: TrackedRequest) -> None:
         """Sends the request to the first backend that admits it, else holds or ends it."""
         left_us = request.deadline_us - self._now
         spent = request.attempts >= self._set.max_attempts or self._now >= self._begin_by_us(request)
@@ -326,7 +277,7 @@
         self._held.pop(request.id, None)
         self._send(request, server)
 
-    def _send(self, request: _Request, server: _Server) -> None:
+    def _send(self, request: TrackedRequest, server: TrackedBackend) -> None:
         request.attempts += 1
         request.at, request.sent_us = server, self._now
         self._sends = 1.0 + self._sends * math.exp((self._sent_us - self._now) / USUAL_US)
@@ -346,7 +297,7 @@
             until_us = min(until_us, self._now + patience_us)
         self._out.append(i.Send(request.id, server.id, until_us, self._begin_by_us(request)))
 
-    def _choose(self, request: _Request) -> _Server | None:
+    def _choose(self, request: TrackedRequest) -> TrackedBackend | None:
         if self._now >= self._recount_us:
             self._recount()
         if request.mid_flow and request.attempts == 0:
@@ -367,7 +318,7 @@
         # All over their bound: the best not crowded. None healthy in reach: the best ejected one, after all.
         return spare or (last if self._capacity <= 0 else None)
 
-    def _ranked(self, k: int) -> Iterator[_Server]:
+    def _ranked(self, k: int) -> Iterator[TrackedBackend]:
         """The highest score first: one product gives all, few are compared beyond their top byte."""
         lanes = ((self._hashes * k) & self._lanes).to_bytes(LANE * len(self._ready), "little")
         tops = lanes[3::LANE]
@@ -378,7 +329,7 @@
                 n = tops.find(top, n + 1)
             yield from (self._ready[n] for _, n in sorted(found))  # the lowest id among equal scores
 
-    def _order(self, request: _Request) -> Iterator[_Server]:
+    def _order(self, request: TrackedRequest) -> Iterator[TrackedBackend]:
         """The best scores, highest first. A group whose load here makes up several fair loads is heavier
         than a backend: its connections spread over as many of its best scores, each by its own client key."""
         spread = 1
@@ -389,11 +340,11 @@
         yield from sorted(islice(ranked, spread), key=lambda s: (-((s.hash * request.client) & MASK), s.id))
         yield from ranked
 
-    def _last_look_us(self, request: _Request) -> int:
+    def _last_look_us(self, request: TrackedRequest) -> int:
         """When a held request is looked at for the last time: later, an answer would come too late."""
         return request.deadline_us - PUMP_US - 2 * self._set.tick_us
 
-    def _opens_us(self, request: _Request) -> float:
+    def _opens_us(self, request: TrackedRequest) -> float:
         """The earliest time at which a backend not tried yet may take the request, as things stand: what is
         sure to keep every one shut for longer leaves nothing to wait for."""
         if request.mid_flow and request.attempts == 0:
@@ -404,7 +355,7 @@
             opens = max(opens, self._now + SECOND * (1.0 - self._pace_tokens) / self._pace)
         return max(opens, request.not_before_us)
 
-    def _gates_open_us(self, server: _Server, load: float) -> float:
+    def _gates_open_us(self, server: TrackedBackend, load: float) -> float:
         """When the gates that time alone opens would let a connection of this load through."""
         opens: float = max(self._now, server.ejected_until)
         if self._crowded(server, 1.0):
@@ -422,21 +373,21 @@
             opens = max(opens, self._now + min(max(slot_us, room_us), self._set.cold_us - age_us))
         return opens
 
-    def _holder(self, request: _Request) -> _Server | None:
+    def _holder(self, request: TrackedRequest) -> TrackedBackend | None:
         """Mid-flow: the top score over ready backends and those draining within the grace."""
         grace_us = self._set.drain_grace_us - self._set.tick_us
         drains = (s for s in self._servers.values() if s.state is i.BackendState.DRAINING)
         pool = [*self._ready, *(s for s in drains if self._now - s.told_us < grace_us)]
         return max(pool, key=lambda s: ((s.hash * request.hash) & MASK, -s.id), default=None)
 
-    def _begin_by_us(self, request: _Request) -> float:
+    def _begin_by_us(self, request: TrackedRequest) -> float:
         """By when the effect class allows another attempt to begin."""
         if request.ran_at is None or request.cls.effect is i.Effect.IDEMPOTENT:
             return math.inf
         window_us = request.cls.dedup_window_us - self._set.tick_us
         return request.ran_us + window_us if request.cls.effect is i.Effect.DEDUPLICATED else -math.inf
 
-    def _may(self, request: _Request, server: _Server) -> bool:
+    def _may(self, request: TrackedRequest, server: TrackedBackend) -> bool:
         """Whether it allows this backend: no repeat outside the scope that drops repeats."""
         if server in request.tried:
             return False
@@ -448,36 +399,36 @@
 
     # ------------------------------------------------------------------ gates
 
-    def _healthy(self, server: _Server) -> bool:
+    def _healthy(self, server: TrackedBackend) -> bool:
         """Outlier ejection. Acts after failed connects, repeated time-outs or a mass reset."""
         on_trial = server.trial and server.pending > 0  # one attempt at a time
         return server.ejected_until <= self._now and not on_trial
 
-    def _crowded(self, server: _Server, share: float) -> bool:
+    def _crowded(self, server: TrackedBackend, share: float) -> bool:
         """Acts while messages there take over this share of the shortest objective."""
         fresh = self._now - server.delay_us < NOTE_US
         hearsay = self._now < server.warned_us and share < 1.0 and not fresh  # others come first
         return hearsay or (fresh and server.delay_ms > max(self._aim_ms, 1.0) * share * 0.999)
 
-    def _bounded(self, server: _Server, load: float) -> bool:
+    def _bounded(self, server: TrackedBackend, load: float) -> bool:
         """Bounded loads. Acts when this relay's own load there is far over its fair share. The root
         leaves room for chance where a relay sees only a few of a backend's connections."""
         fair, unit = self._fair(server), self._unit()
         most = BOUND * fair + BOUND_ROOT * math.sqrt(fair * unit) + BOUND_MORE * unit
         return server.held() + self._rush(server) + load / 2 <= most
 
-    def _rush(self, server: _Server) -> float:
+    def _rush(self, server: TrackedBackend) -> float:
         """What other relays have sent there since the sum, if each has sent as much as this one has to those
         that are open: or all would fill the same few until the next one."""
         part = server.capacity * self._share(server) / max(self._open, 1e-9)
         return (self._relays - 1) * max(0.0, self._since) * part
 
-    def _below_limit(self, server: _Server, load: float) -> bool:
+    def _below_limit(self, server: TrackedBackend, load: float) -> bool:
         """Acts after a backend was crowded, until its limit has grown past this relay's load there."""
         grown = 1.0 + LIMIT_GROWTH * (self._now - server.limit_us) / SECOND
         return server.held() + load / 2 <= max(server.limit * grown, self._fair(server) / 4)
 
-    def _lower(self, server: _Server) -> None:
+    def _lower(self, server: TrackedBackend) -> None:
         """A crowded backend's limit: without it the same groups flood back once it is no longer crowded."""
         if self._now - server.limit_us >= LIMIT_US:
             server.limit = LIMIT_CUT * max(min(server.limit, server.held()), self._fair(server) / 2)
@@ -488,12 +439,12 @@
         count = self._count + self._others_count
         return max(0.0, self._load + self._others) / count if count else 1.0
 
-    def _fair(self, server: _Server) -> float:
+    def _fair(self, server: TrackedBackend) -> float:
         """What a warm server's share of the load known of is, by present capacity, among the healthy."""
         load = max(0.0, self._load + self._others)
         return load * server.capacity / self._capacity if self._capacity > 0 else 0.0
 
-    def _weigh(self, request: _Request, server: _Server, sign: float) -> None:
+    def _weigh(self, request: TrackedRequest, server: TrackedBackend, sign: float) -> None:
         """Books a connection's load at its server and in the sum, or takes it off."""
         self._count += int(sign)
         self._load = self._load + sign * request.load if self._count else 0.0
@@ -510,7 +461,7 @@
         self._capacity = sum(shares.values())
         self._open = sum(c for s, c in shares.items() if not self._crowded(s, 0.5) and self._bounded(s, 0.0))
 
-    def _paced(self, request: _Request) -> bool:
+    def _paced(self, request: TrackedRequest) -> bool:
         """Congestion control. Acts after backends answer set-ups with errors, as before a shared store that
         is overloaded: sends are spaced at a rate, and what met an error waits before it is sent again."""
         if request.not_before_us > self._now:
@@ -538,14 +489,14 @@
         self._pace_us = self._slowed_us = self._now
         self._pace_tokens = min(self._pace_tokens, 0.0)
 
-    def _share(self, server: _Server) -> float:
+    def _share(self, server: TrackedBackend) -> float:
         """What a backend is sure to have of its capacity: less than 1 while it warms up."""
         if server.cold_from_us < 0:
             return 1.0
         age = (self._now - server.cold_from_us) / self._set.cold_us
         return min(1.0, self._set.cold_from + (1 - self._set.cold_from) * age)
 
-    def _warm_enough(self, server: _Server) -> bool:
+    def _warm_enough(self, server: TrackedBackend) -> bool:
         """Slow start. Acts during the warm-up. This relay's load there stays under the fair load times the
         share of its capacity that the backend is sure to have. Sends are slots, in two windows as many as
         make up that load; unused for (multiple - 1) windows they lapse, or relays would save them up."""
@@ -565,13 +516,13 @@
         """A cold one's share is the least it may have: many relays, of which each sends little, risk more."""
         return BOLD if self._relays >= MANY and self._now < self._fresh_until_us else 1.0
 
-    def _slots(self, server: _Server, allowed: float) -> float:
+    def _slots(self, server: TrackedBackend, allowed: float) -> float:
         """Sends a microsecond of this relay to a cold backend: more while the sum is fresh, as most lapse."""
         missing = SLOTS_MANY * max(0.0, allowed - server.held())
         slots = missing if self._bold() > 1.0 else allowed * (SLOTS_HEARD if self._relays > 1 else 1.0)
         return slots / self._relays / max(self._unit(), 1e-9) / (2 * self._set.fall_us)
 
-    def _chill(self, server: _Server, since_us: int) -> None:
+    def _chill(self, server: TrackedBackend, since_us: int) -> None:
         server.cold_from_us, server.token_us = since_us, self._now
         server.tokens = self._random.random()  # at one level, relays would all send in the same moment
 
@@ -590,7 +541,7 @@
         self._recovered(server)
         self._timed(server, event.latency_us)
 
-    def _timed(self, server: _Server, took_us: int) -> None:
+    def _timed(self, server: TrackedBackend, took_us: int) -> None:
         """Set-ups queue behind the same work as messages: what one takes beyond the usual, a message waits
         there too. What is moved off only comes to better where another backend is not crowded."""
         self._took.append(took_us)
@@ -606,7 +557,7 @@
             self._lower(server)
             self._relieve(server, room)
 
-    def _room(self, server: _Server) -> bool:
+    def _room(self, server: TrackedBackend) -> bool:
         well = (s for s in self._ready if s is not server and self._healthy(s))
         return any(not self._crowded(s, 0.5) and self._bounded(s, 0.0) for s in well)
 
@@ -643,7 +594,7 @@
                 request.not_before_us = self._now + int(wait_us * (0.5 + self._random.random()))
             self._place(request)
 
-    def _finish(self, request: _Request) -> None:
+    def _finish(self, request: TrackedRequest) -> None:
         """The one final answer: a refusal only where trying again is known to be harmless."""
         self._held.pop(request.id, None)
         del self._requests[request.id]
@@ -653,7 +604,7 @@
 
     # ------------------------------------------------------------------ health
 
-    def _judge(self, server: _Server, outcome: i.Outcome, stood: bool) -> None:
+    def _judge(self, server: TrackedBackend, outcome: i.Outcome, stood: bool) -> None:
         if outcome is i.Outcome.OK:
             self._recovered(server)
         elif outcome is i.Outcome.CONNECT_FAILED:
@@ -682,12 +633,12 @@
             elif server.resets >= 2 or self._crowded(server, 0.0):  # one alone is no sign of a crowd
                 self._strain(server)
 
-    def _strain(self, server: _Server) -> None:
+    def _strain(self, server: TrackedBackend) -> None:
         """A backend that drops connections or set-ups is crowded, though no delay note may ever say so."""
         server.delay_ms, server.delay_us = max(server.delay_ms, self._aim_ms, 1.0), self._now
         self._lower(server)
 
-    def _eject(self, server: _Server, why: str) -> None:
+    def _eject(self, server: TrackedBackend, why: str) -> None:
         away = [s for s in self._ready if s.ejected_until > self._now]
         if server in away or server not in self._ready or len(away) >= EJECT_SHARE * len(self._ready):
             return
@@ -704,7 +655,7 @@
             self._out.append(i.Log(what))
             self._logged_us = self._now
 
-    def _recovered(self, server: _Server) -> None:
+    def _recovered(self, server: TrackedBackend) -> None:
         server.strikes = server.errors = 0
         if server.trial:
             self._report(f"backend {server.id} readmitted")
@@ -726,7 +677,7 @@
                 self._lower(server)
             self._relieve(server, self._relays > 1 and self._room(server))
 
-    def _told(self, request: _Request, load: float) -> None:
+    def _told(self, request: TrackedRequest, load: float) -> None:
         """A connection's load, by hint or note. Until the first one every connection counts 1."""
         if not self._class_load:
             self._told_first(load)
@@ -741,13 +692,13 @@
 
     def _told_first(self, load: float) -> None:
         self._class_load[""] = (load, 0)
-        ones: list[_Server | _Request] = [*self._servers.values(), *self._requests.values()]
+        ones: list[TrackedBackend | TrackedRequest] = [*self._servers.values(), *self._requests.values()]
         for one in ones:
             one.load *= load
         self._groups = {known: sum_ * load for known, sum_ in self._groups.items()}
         self._load *= load
 
-    def _relieve(self, server: _Server, room: bool = False) -> None:
+    def _relieve(self, server: TrackedBackend, room: bool = False) -> None:
         """Moves connections off a backend whose messages miss the objective: every relay the same share of
         its own, or what is over its fair load there if there is room elsewhere; first those that score higher
         elsewhere by now, the heaviest of them first. In a full fleet they are refused until there is room."""
@@ -757,7 +708,7 @@
         excess = server.load * max(MOVE_SHARE, over if room else 0.0)
         hashes = [s.hash for s in self._ready if s.ejected_until <= self._now]
 
-        def keeps(request: _Request) -> tuple[bool, float]:
+        def keeps(request: TrackedRequest) -> tuple[bool, float]:
             score = (server.hash * request.hash) & MASK
             return room and score >= max((h * request.hash) & MASK for h in hashes), -request.load
 
--- a/sailrun/lab/world.py
+++ b/sailrun/lab/world.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Generic, Protocol, TypeVar
 
-from sailrun.decide import key_hash, server_hash
 from sailrun.interface import BackendState
 from sailrun.lab.chance import Stream
 from sailrun.lab.checks import Check, RuleBook
@@ -17,6 +16,7 @@
 from sailrun.lab.records import Records
 from sailrun.lab.terms import SECOND, WorldTerms
 from sailrun.node.session import FormServer
+from sailrun.rendezvous import key_hash, server_hash
 
 MASK = 0xFFFFFFFF
 # A group's further connections come within so long of its first.
--- a/sailrun/owners/leases.py
+++ b/sailrun/owners/leases.py
@@ -16,10 +16,10 @@
 
 import mmh3
 
-from sailrun.decide import MASK, key_hash, server_hash
 from sailrun.owners.messages import Ask, Claim, Deny, Grant, Release, Yield
 from sailrun.owners.quorum import Voters
 from sailrun.owners.terms import DRIFT, OwnersTerms
+from sailrun.rendezvous import MASK, key_hash, server_hash
 
 SECOND = 1_000_000
 # So many of the best placed members try for a task; each waits so much longer than the one before it.
--- a/sailrun/shards/placement.py
+++ b/sailrun/shards/placement.py
@@ -13,7 +13,7 @@
 import numpy as np
 import numpy.typing as npt
 
-from sailrun.decide import key_hash, server_hash
+from sailrun.rendezvous import key_hash, server_hash
 from sailrun.shards.messages import Change, Session
 
 # Products are formed for so many at a time, to bound the memory of a placement from nothing.
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,12 +18,12 @@
 import pytest
 
 from sailrun.connection import Connection
-from sailrun.decide import MASK, key_hash, server_hash
 from sailrun.http_calls import HttpCalls
 from sailrun.interface import Cause
 from sailrun.node.clock import Clock
 from sailrun.node.session import FormSession, server_number
 from sailrun.node.watch import ServerWatch
+from sailrun.rendezvous import MASK, key_hash, server_hash
 from tests.stand_ins import (
     PATIENCE_S,
     SETTINGS,
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from sailrun import decide
+from sailrun import decide, tracked
 from sailrun import interface as i
+from sailrun.rendezvous import MASK, key_hash, server_hash
 from tests.support import SECOND, Relay, backend, delta, full, settings
 
 FLEET = tuple(range(1, 21))
@@ -68,7 +69,7 @@
 
 def test_the_spill_of_a_heavy_group_follows_the_order_of_scores() -> None:
     relay = relay_with(200)
-    order = sorted(FLEET, key=lambda b: -((decide.server_hash(b) * decide.key_hash("g")) & decide.MASK))
+    order = sorted(FLEET, key=lambda b: -((server_hash(b) * key_hash("g")) & MASK))
     for n in range(40):
         relay.opened(relay.ask(key=f"client{n}", group="g"))
     used = {a.backend for n, a in relay.attempts.items() if relay.promises[n].cls and int(n[1:]) > 200}
@@ -203,7 +204,7 @@
     relay.feed(full(*range(1, 501)))
     looks = 0
 
-    def counted(server: decide._Server) -> bool:
+    def counted(server: tracked.TrackedBackend) -> bool:
         nonlocal looks
         looks += 1
         return False
@@ -295,7 +296,7 @@
     looks = 0
     place = relay.balancer._place
 
-    def counted(request: decide._Request) -> None:
+    def counted(request: tracked.TrackedRequest) -> None:
         nonlocal looks
         looks += 1
         place(request)
@@ -442,4 +443,4 @@
 
 
 def top(key: str) -> int:
-    return max(FLEET, key=lambda b: (decide.server_hash(b) * decide.key_hash(key)) & decide.MASK)
+    return max(FLEET, key=lambda b: (server_hash(b) * key_hash(key)) & MASK)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -5,9 +5,10 @@
 import mmh3
 import pytest
 
-from sailrun import decide
+from sailrun import decide, tracked
 from sailrun import interface as i
-from sailrun.decide import KEY_SEED, SERVER_SEED, Balancer, key_hash, server_hash
+from sailrun.decide import Balancer
+from sailrun.rendezvous import KEY_SEED, MASK, SERVER_SEED, key_hash, server_hash
 from tests.support import full, settings
 
 
@@ -26,7 +27,7 @@
     assert (SERVER_SEED, KEY_SEED) == (165233, 845219)
     assert server_hash(51530247) == 3605899580
     assert key_hash("91f03b7c55d20a64") == 2812954092
-    assert (3605899580 * 2812954092) & decide.MASK == 3079483216
+    assert (3605899580 * 2812954092) & MASK == 3079483216
 
 
 def test_lands_on_the_highest_product() -> None:
@@ -38,7 +39,7 @@
 
 
 def test_ties_go_to_the_lower_id(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(decide, "server_hash", lambda n: 7 if n in (12, 15) else 1)
+    monkeypatch.setattr(tracked, "server_hash", lambda n: 7 if n in (12, 15) else 1)
     monkeypatch.setattr(decide, "key_hash", lambda key: 3)
     assert landing((15, 11, 12, 14), "any") == 12
 
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -7,20 +7,31 @@
 import tomllib
 from pathlib import Path
 
+import pytest
+
 ROOT = Path(__file__).parent.parent
 
 
-def test_the_module_is_small_and_names_its_interface_first() -> None:
-    (path,) = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
+DECISIONS = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
+
+
+@pytest.mark.parametrize("path", DECISIONS)
+def test_a_module_of_the_decisions_is_small_and_says_what_it_decides(path: str) -> None:
     text = (ROOT / path).read_text()
     lines = [line for line in text.splitlines() if line.strip()]
     assert len(lines) <= 710
     assert max(map(len, lines)) <= 110
+    assert ast.get_docstring(ast.parse(text))
+
+
+def test_the_decisions_name_their_interface_first() -> None:
+    text = (ROOT / DECISIONS[0]).read_text()
     assert "sailrun/interface.py" in (ast.get_docstring(ast.parse(text)) or "").splitlines()[0]
 
 
-def test_the_module_is_pure() -> None:
-    tree = ast.parse((ROOT / "sailrun" / "decide.py").read_text())
+@pytest.mark.parametrize("path", DECISIONS)
+def test_a_module_of_the_decisions_is_pure(path: str) -> None:
+    tree = ast.parse((ROOT / path).read_text())
     imported = set()
     for node in ast.walk(tree):
         if isinstance(node, ast.Import):
@@ -40,6 +51,7 @@
         "mmh3",
         "sailrun",
         "sailrun.validate",
+        *(path.removesuffix(".py").replace("/", ".") for path in DECISIONS),
     }
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from sailrun import interface as i
-from sailrun.decide import MASK, key_hash, server_hash
+from sailrun.rendezvous import MASK, key_hash, server_hash
 from tests.support import SECOND, Relay, backend, delta, full, settings
 
 STEP = st.one_of(
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -8,9 +8,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sailrun.decide import MASK, key_hash
 from sailrun.owners.quorum import Voters
 from sailrun.owners.terms import OwnersTerms
+from sailrun.rendezvous import MASK, key_hash
 from sailrun.shards.assigner import Assigner
 from sailrun.shards.fence import TokenFence
 from sailrun.shards.messages import (
