Log slow start, each send to a form server in it, failed attempts, and why one is refused

Cause: no log told how much any node sent to a form server in slow start, what it still allowed itself, why a request was refused, or how an attempt ended that was followed by another; the incident's logs could not be added up. Change: lines slow-start, slow-start-send and attempt-failed, why= at ended; typed in sailrun/interface.py. Two tests that asked for a bare failure now ask for its reason as well.

--- a/sailrun/amqp/clients.py
+++ b/sailrun/amqp/clients.py
@@ -237,6 +237,7 @@
             attempts=self._session.attempts if self._session else None,
             ms=(self._node.clock.now_us() - self._began_us) // 1000,
             moved_for=self._session.why_moved if self._session else None,
+            why=self._session.why_withheld if self._session else None,
         )
 
     def left(self, reason: str) -> None:
--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -173,7 +173,7 @@
             server.forget()
             server.started_us = entry.started_us
             if entry.started_us > 0 and self._now - entry.started_us < self._set.cold_us:
-                self._chill(server, entry.started_us)
+                self._chill(server, entry.started_us, i.SlowStartCause.LISTED)
         self._state(server, entry.state)
 
     def _by_hand(self, event: i.ByHand) -> None:
@@ -183,7 +183,8 @@
         if (server := self._servers.get(event.backend)) is not None:
             if not event.out:
                 server.forget()
-                self._chill(server, server.started_us if server.started_us > server.told_us else self._now)
+                since_us = server.started_us if server.started_us > server.told_us else self._now
+                self._chill(server, since_us, i.SlowStartCause.BY_HAND)
                 server.tokens = 1.0
             self._state(server, server.listed)
             self._relist()
@@ -261,15 +262,17 @@
 
     def _place(self, request: TrackedRequest) -> None:
         """Sends the request to the first backend that admits it, else holds or ends it."""
-        left_us = request.deadline_us - self._now
-        spent = request.attempts >= self._set.max_attempts or self._now >= self._begin_by_us(request)
-        if left_us <= self._set.tick_us or spent:
-            self._finish(request)
+        if request.deadline_us - self._now <= self._set.tick_us:
+            self._finish(request, i.Withheld.OUT_OF_TIME)
+            return
+        if request.attempts >= self._set.max_attempts or self._now >= self._begin_by_us(request):
+            self._finish(request, i.Withheld.OUT_OF_ATTEMPTS)
             return
         server = self._choose(request) if self._paced(request) else None
         if server is None:
             if self._opens_us(request) > self._last_look_us(request):
-                self._finish(request)  # given up: answered at once, not when its time is nearly over
+                # Given up: answered at once, not when its time is nearly over.
+                self._finish(request, i.Withheld.NOWHERE)
             elif request.id not in self._held:
                 self._held[request.id] = request
                 self._arm_pump()
@@ -288,14 +291,19 @@
         self._weigh(request, server, 1.0)
         request.tried += (server,)
         server.pending += 1
+        slow_start = None
         if server.cold_from_us >= 0:
+            server.sent_us.append(self._now)
+            while server.sent_us[0] <= self._now - self._set.fall_us:
+                server.sent_us.popleft()
+            slow_start = i.SlowStartUse(self._share(server), len(server.sent_us), server.tokens)
             server.tokens -= 1.0
         until_us = request.deadline_us
         if request.attempts < self._set.max_attempts:
             # A silent backend must leave time for another attempt; patience grows with what set-ups take.
             patience_us = max(request.cls.objective_us, int(PATIENCE * self._setup_us))
             until_us = min(until_us, self._now + patience_us)
-        self._out.append(i.Send(request.id, server.id, until_us, self._begin_by_us(request)))
+        self._out.append(i.Send(request.id, server.id, until_us, self._begin_by_us(request), slow_start))
 
     def _choose(self, request: TrackedRequest) -> TrackedBackend | None:
         if self._now >= self._recount_us:
@@ -501,6 +509,8 @@
         share of its capacity that the backend is sure to have. Sends are slots, in two windows as many as
         make up that load; unused for (multiple - 1) windows they lapse, or relays would save them up."""
         if self._share(server) >= 1.0:
+            if server.cold_from_us >= 0:
+                self._out.append(i.SlowStartChanged(server.id, i.SlowStartCause.WARM))
             server.cold_from_us = -1
             return True
         allowed = self._bold() * self._share(server) * self._fair(server)
@@ -522,7 +532,8 @@
         slots = missing if self._bold() > 1.0 else allowed * (SLOTS_HEARD if self._relays > 1 else 1.0)
         return slots / self._relays / max(self._unit(), 1e-9) / (2 * self._set.fall_us)
 
-    def _chill(self, server: TrackedBackend, since_us: int) -> None:
+    def _chill(self, server: TrackedBackend, since_us: int, cause: i.SlowStartCause) -> None:
+        self._out.append(i.SlowStartChanged(server.id, cause, self._now - since_us))
         server.cold_from_us, server.token_us = since_us, self._now
         server.tokens = self._random.random()  # at one level, relays would all send in the same moment
 
@@ -579,8 +590,10 @@
             request.ran_at, request.ran_us = server, request.sent_us
         if event.over or request.deadline_us < 0:
             del self._requests[request.id]
-        elif stood or event.outcome is i.Outcome.CANCELLED or self._now >= self._begin_by_us(request):
-            self._finish(request)
+        elif stood or event.outcome is i.Outcome.CANCELLED:
+            self._finish(request, i.Withheld.GIVEN_UP)
+        elif self._now >= self._begin_by_us(request):
+            self._finish(request, i.Withheld.OUT_OF_ATTEMPTS)
         else:
             failed = event.outcome in (i.Outcome.ERROR, i.Outcome.TIMED_OUT, i.Outcome.REJECTED)
             if failed and not server.trial:  # what an ejected one answers says nothing of the others
@@ -594,13 +607,14 @@
                 request.not_before_us = self._now + int(wait_us * (0.5 + self._random.random()))
             self._place(request)
 
-    def _finish(self, request: TrackedRequest) -> None:
+    def _finish(self, request: TrackedRequest, why: i.Withheld) -> None:
         """The one final answer: a refusal only where trying again is known to be harmless."""
         self._held.pop(request.id, None)
         del self._requests[request.id]
         longest_us = self._set.max_retry_after_us if self._set.retry_after else 0
         back_us = int(longest_us * (0.25 + 0.75 * self._random.random()))
-        self._out.append(i.Fail(request.id) if request.ran_at else i.Refuse(request.id, back_us))
+        failed = request.ran_at is not None
+        self._out.append(i.Fail(request.id, why) if failed else i.Refuse(request.id, back_us, why))
 
     # ------------------------------------------------------------------ health
 
@@ -663,7 +677,7 @@
             server.ejections = server.ejected_until = 0
             self._recount()
             if len(server.open) <= 1:  # it may have restarted before the list tells: treated as cold from now
-                self._chill(server, self._now)
+                self._chill(server, self._now, i.SlowStartCause.ANSWERS_AGAIN)
 
     def _notice(self, event: i.AttemptNotice) -> None:
         server = self._servers.get(event.backend)
@@ -741,8 +755,10 @@
         misses = 0
         opens = min((self._gates_open_us(s, 0.0) for s in self._ready), default=math.inf)
         for request in list(self._held.values()):
-            if opens > self._last_look_us(request) or self._now >= self._last_look_us(request):
-                self._finish(request)
+            if self._now >= self._last_look_us(request):
+                self._finish(request, i.Withheld.OUT_OF_TIME)
+            elif opens > self._last_look_us(request):
+                self._finish(request, i.Withheld.NOWHERE)
             elif misses < PUMP_MISSES and request.not_before_us <= self._now:
                 self._place(request)
                 if self._held.pop(request.id, None):
--- a/sailrun/interface.py
+++ b/sailrun/interface.py
@@ -77,6 +77,25 @@
     BALANCE = "balance"  # others have room, and nothing else is the matter
 
 
+class SlowStartCause(Enum):
+    """Why a backend is taken to be in slow start, or no longer; for the log."""
+
+    LISTED = "listed"  # the list tells of its start
+    BY_HAND = "by-hand"  # staff put it back
+    ANSWERS_AGAIN = "answers-again"  # it did not, and may have restarted before the list tells
+    WARM = "warm"  # it is over
+
+
+class Withheld(Enum):
+    """Why a request was given its final answer without being brought up; for the log."""
+
+    OUT_OF_TIME = "out-of-time"  # its deadline is too near for an attempt
+    OUT_OF_ATTEMPTS = "out-of-attempts"  # no more are allowed, or no repeat
+    NOWHERE = "nowhere"  # no backend will admit it before its deadline
+    GIVEN_UP = "given-up"  # its attempt was withdrawn
+    LEAVING = "leaving"  # the instance ends
+
+
 # --------------------------------------------------------------------------- settings
 
 
@@ -323,6 +342,15 @@
 # --------------------------------------------------------------------------- actions
 
 
+@dataclass(frozen=True, slots=True)
+class SlowStartUse:
+    """What an instance knew of a backend in slow start when it sent a request there; for the log."""
+
+    share: float  # of the backend's capacity that it surely has, 0 to 1
+    sent: int  # by this instance within the last `fall_us`, this request among them
+    allowance: float  # what this instance had left for it, in requests of mean work, before this one
+
+
 @dataclass(frozen=True, slots=True)
 class Send:
     """Start an attempt; given up at `until_us`, and at the client's deadline at the latest. Where its first
@@ -333,6 +361,7 @@
     backend: int
     until_us: int = 0
     begin_by_us: float = math.inf
+    slow_start: SlowStartUse | None = None  # None: the backend is warm
 
 
 @dataclass(frozen=True, slots=True)
@@ -341,6 +370,7 @@
 
     request: str
     retry_after_us: int = 0
+    why: Withheld | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -348,6 +378,7 @@
     """Final answer: failed, with no promise about its effect."""
 
     request: str
+    why: Withheld | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -398,6 +429,15 @@
     content: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class SlowStartChanged:
+    """For the log: a backend is in slow start from now on, or no longer. `age_us`: since its begin."""
+
+    backend: int
+    cause: SlowStartCause
+    age_us: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Log:
     text: str
@@ -415,5 +455,6 @@
     | ProbeBackend
     | CloseIdle
     | TellPeer
+    | SlowStartChanged
     | Log
 )
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -330,10 +330,12 @@
                 self._send_to(action)
             case i.Refuse():
                 if (session := self._answerable(action.request)) is not None:
+                    session.withheld = action.why
                     self._refuse(session, action.retry_after_us)
                     self.rebalancing(lambda rebalancer: rebalancer.refused(self._now))
             case i.Fail():
                 if (session := self._answerable(action.request)) is not None:
+                    session.withheld = action.why
                     self._fail(session)
             case i.MoveConnection():
                 self._move(action.request, action.cause)
@@ -357,6 +359,9 @@
                     self.prober.probe(form_server, self._now + self.settings.connect_timeout_us)
             case i.CloseIdle():
                 pass  # no connection here is ever idle: each belongs to one form session
+            case i.SlowStartChanged():
+                name, age_ms = self._name(action.backend), action.age_us // 1000
+                self._log("slow-start", server=name, cause=action.cause.value, age_ms=age_ms)
             case i.Log():
                 self._log("decision", text=action.text)
 
@@ -371,9 +376,22 @@
             session.attempts += 1
             self._post(self._attempt_over, session, session.placement, i.Outcome.NOT_SENT)
             return
+        if action.slow_start is not None:
+            self._log_slow_start(session, form_server, action.slow_start)
         until_us = min(action.until_us or session.deadline_us, session.deadline_us)
         self._order(session, form_server, until_us, action.begin_by_us)
 
+    def _log_slow_start(self, session: FormSession, form_server: FormServer, use: i.SlowStartUse) -> None:
+        """What all nodes send to a form server in slow start can be added up from these lines alone."""
+        self._log(
+            "slow-start-send",
+            id=session.id,
+            server=form_server.name,
+            share=round(use.share, 3),
+            sent=use.sent,
+            allowance=round(use.allowance, 3),
+        )
+
     def _order(
         self, session: FormSession, form_server: FormServer, until_us: int, begin_by_us: float = math.inf
     ) -> None:
@@ -473,6 +491,14 @@
         if outcome not in (i.Outcome.REJECTED, i.Outcome.CONNECT_FAILED, i.Outcome.NOT_SENT):
             session.may_have_run = True
         over = session.over or outcome is i.Outcome.OK
+        if not over:
+            self._log(
+                "attempt-failed",
+                id=session.id,
+                server=placement.form_server.name,
+                attempt=placement.attempt,
+                outcome=outcome.value,
+            )
         if outcome is i.Outcome.OK and not session.over:  # served to its end in one answer
             self.counts.classes[session.request_class].success += 1
         if over:
@@ -798,6 +824,7 @@
             for session in waiting:
                 self._end(session)
                 self._feed(i.ClientLeft(session.id))
+                session.withheld = i.Withheld.LEAVING
                 if session.may_have_run or session.placement is not None:
                     self._fail(session)
                 else:
--- a/sailrun/node/session.py
+++ b/sailrun/node/session.py
@@ -10,7 +10,7 @@
 
 import mmh3
 
-from sailrun.interface import Backend, BackendState, Cause, ListKind
+from sailrun.interface import Backend, BackendState, Cause, ListKind, Withheld
 
 if TYPE_CHECKING:
     from sailrun.node.session_transfer import SendTransfer
@@ -101,9 +101,15 @@
     stands: bool = False
     over: bool = False  # the client has its final answer or has left
     moved_for: Cause | None = None  # it is being moved
+    withheld: Withheld | None = None  # why it was refused or failed
     unanswered: deque[int] = field(default_factory=deque)  # when each line without an answer was sent
 
     @property
     def why_moved(self) -> str | None:
         """For the log."""
         return self.moved_for.value if self.moved_for is not None else None
+
+    @property
+    def why_withheld(self) -> str | None:
+        """For the log."""
+        return self.withheld.value if self.withheld is not None else None
--- a/sailrun/platform/clients.py
+++ b/sailrun/platform/clients.py
@@ -225,6 +225,7 @@
                     attempts=self._session.attempts if self._session else None,
                     ms=(self._node.clock.now_us() - began_us) // 1000,
                     moved_for=self._session.why_moved if self._session else None,
+                    why=self._session.why_withheld if self._session else None,
                 )
 
     def _forget(self) -> None:
--- a/sailrun/tracked.py
+++ b/sailrun/tracked.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 
 from sailrun import interface as i
 from sailrun.rendezvous import server_hash
@@ -26,6 +27,7 @@
         self.pending, self.load = 0, 0.0  # attempts out that do not stand yet; of these and what is open
         self.told_us, self.started_us = 0, -1  # when this instance was told that it drains or is gone
         self.state = self.listed = i.BackendState.GONE  # as listed it may be ready, and out by hand
+        self.sent_us: deque[int] = deque()  # this instance's latest sends to it in slow start
         self.forget()
 
     def held(self) -> float:
--- a/sailrun/wire.py
+++ b/sailrun/wire.py
@@ -362,6 +362,7 @@
     i.ProbeBackend: lambda w, a: f"test\twho={w}\tbackend={a.backend}",
     i.CloseIdle: lambda w, a: f"let_go\twho={w}\tbackend={a.backend}",
     i.TellPeer: _tell,
+    i.SlowStartChanged: lambda w, a: f"remark\twho={w}\ttext=slow start of {a.backend}: {a.cause.value}",
     i.Log: lambda w, a: f"remark\twho={w}\ttext={_one_line(a.text)}",
 }
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -56,7 +56,7 @@
         relay.advance(waited)
         relay.end(name, i.Outcome.RESET)
         assert len(relay.promises[name].sends) == sends
-        assert (i.Fail(name) in relay.log) == (sends == 1)
+        assert (i.Fail(name, i.Withheld.OUT_OF_ATTEMPTS) in relay.log) == (sends == 1)
 
 
 def test_a_heavy_group_does_not_land_whole() -> None:
--- a/tests/test_odd_events.py
+++ b/tests/test_odd_events.py
@@ -57,7 +57,7 @@
     name = relay.ask("unsafe")
     relay.feed(full())
     relay.end(name, i.Outcome.RESET)
-    assert i.Fail(name) in relay.log
+    assert i.Fail(name, i.Withheld.OUT_OF_ATTEMPTS) in relay.log
 
 
 @pytest.mark.parametrize("left_us", [0, 1, 4_000])
