--- a/tests/test_slow_start_sum.py
+++ b/tests/test_slow_start_sum.py
@@ -49,7 +49,7 @@
 def test_all_nodes_together_send_no_more_than_a_form_server_in_slow_start_bears(
     tmp_path: Path, nodes: int
 ) -> None:
-    rules = {"coldUs": COLD_S * 1_000_000, "fallUs": int(WINDOW_S * 1_000_000)}
+    rules: dict[str, float] = {"coldUs": COLD_S * 1_000_000, "fallUs": int(WINDOW_S * 1_000_000)}
     rules |= {"coldFrom": SHARE, "fallMultiple": MULTIPLE}
     warm = [FormServer(f"s-0000000{n}") for n in range(WARM)]
     young = FormServer("s-5be2a07c")
