Bound what all nodes together send to a form server in slow start

Cause: the allowance of a node (`_slots` in decide.py) was a part of the sessions a form server may come to hold, multiplied by three or eight where others are heard, saved up to two windows, and spent by each node on its own. Nothing related the sum to what the rule counts: requests within one window, N + 3 roots + 3 for a capacity that fills the form server over its warm-up. Change: sailrun/slow_start.py. The tier's mean is set three standard deviations under what is borne and divided by the stated number of nodes. Each request placed takes from a node's part the chance that it would have gone there; clients that come again weigh three times, as they come with their group; a count caps each node; a lone node only counts. Related paths: the last resort when all are ejected and a mid-flow session obey it too; nothing is handed out at once for one put back by hand; a start that is news counts from the news, not by two machines' clocks; what a process before this one may have spent is spent. Slots and their factors are gone.

--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -14,11 +14,11 @@
 
 from sailrun import interface as i
 from sailrun import recollection
-from sailrun.rendezvous import MASK, key_hash
+from sailrun.rendezvous import MASK, Ranking, key_hash
+from sailrun.slow_start import SlowStart, listed_age_us, newest_start_us
 from sailrun.tracked import LIMIT_US, NOTE_US, TrackedBackend, TrackedRequest
 from sailrun.validate import check_settings
 
-LANE = 8  # bytes of one product among many
 SECOND = 1_000_000
 
 PUMP, FOLLOW = 1, 2  # the tokens of the instance's timers
@@ -35,8 +35,10 @@
 BURST_US = 1 * SECOND
 # What a set-up usually takes: the lower quarter of so many latest ones, once there are a few.
 LATEST_TOOK, FEW_TOOK = 64, 8
-# Bounded loads: the multiple of the fair share, its roots, connections; more slots while others are heard.
-BOUND, BOUND_ROOT, BOUND_MORE, SLOTS_HEARD, SLOTS_MANY, BOLD, MANY = 1.15, 1.0, 1.0, 3.0, 8.0, 1.6, 16
+# Bounded loads: the multiple of the fair share, its roots, connections.
+BOUND, BOUND_ROOT, BOUND_MORE = 1.15, 1.0, 1.0
+# Of its sure share, what a backend in slow start holds while so many relays are heard of.
+BOLD, MANY = 1.6, 16
 # A crowded backend's limit: the share that one cut leaves of it; its growth a second.
 LIMIT_CUT, LIMIT_GROWTH = 0.85, 0.1
 # From this multiple of the shortest aim on, this share moves a second; at a drain, all by this of the grace.
@@ -56,13 +58,14 @@
     def __init__(self, settings: i.Settings, seed: int, now_us: int) -> None:
         check_settings(settings)
         self._set, self._random, self._now = settings, Random(seed), now_us
+        self._slow_start = SlowStart(settings, self._random)
         self._classes = {cls.name: cls for cls in settings.classes}
         aims = [cls.message_objective_us for cls in settings.classes if cls.message_objective_us > 0]
         self._aim_ms = min(aims) / 1_000 if aims else 0.0
         self._servers: dict[int, TrackedBackend] = {}
         self._ready: list[TrackedBackend] = []  # listed ready, by id
         self._hand: frozenset[int] = frozenset()  # out by hand
-        self._hashes = self._lanes = 0  # their hashes in the same order, and MASK, in lanes of 64 bits
+        self._ranking = Ranking(self._ready)
         self._requests: dict[str, TrackedRequest] = {}
         self._held: dict[str, TrackedRequest] = {}
         self._pump_set = self._follow_set = False
@@ -82,12 +85,15 @@
         self._others, self._others_count, self._relays = 0.0, 0, 1
         # Until when the sum is fresh; load placed since it; capacity of those that it may go to.
         self._fresh_until_us, self._since, self._open = now_us, 0.0, 0.0
+        self._open_warm, self._listed_capacity = 0, 0.0
+        # Whether a list has come that was not the one known at the start; the newest start listed.
+        self._heard_live, self._newest_us = False, 0
         self._out: list[i.Action] = []
         self._handlers: dict[type, Callable[..., None]] = {
             i.RequestArrived: self._arrived, i.ConnectionOpened: self._stands, i.AttemptEnded: self._ended,
             i.AttemptNotice: self._notice, i.ListUpdate: self._listed, i.TimerFired: self._timer,
             i.ClientLeft: self._left, i.ConnectionResumed: self._resumed, i.OthersHold: self._heard,
-            i.ByHand: self._by_hand, i.Recalled: lambda event: recollection.recall(self, event),
+            i.ByHand: self._by_hand, i.Recalled: self._recalled,
         }  # fmt: skip
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
@@ -108,10 +114,10 @@
         newcomer.client, newcomer.load = ones[0].client, sum(r.load for r in ones)
         for request in ones:
             self._weigh(request, holder, -1.0)
-        place = self._choose(newcomer)
+        place = self._choose(newcomer, sends=False)
         for request in ones:
             self._weigh(request, holder, 1.0)
-        ahead = takewhile(lambda s: s is not place, self._ranked(newcomer.hash))
+        ahead = takewhile(lambda s: s is not place, self._ranking.highest_first(newcomer.hash))
         moves = place is not holder and all(s.cold_from_us < 0 for s in ahead)
         return place.id if moves and place is not None and place.cold_from_us < 0 else None
 
@@ -147,8 +153,12 @@
         named = {entry.id for entry in event.backends}
         if named and event.kind is not i.ListKind.CACHED:
             self._alert_until_us = self._now + self._set.cold_us
+        starts = {s.id: max(0, s.started_us) for s in self._servers.values()}
+        starts |= {entry.id: entry.started_us for entry in event.backends}
+        self._newest_us = newest_start_us(starts, self._set.cold_us)
         for entry in event.backends:
             self._entry(entry)
+        self._heard_live = self._heard_live or event.kind is not i.ListKind.CACHED
         full = event.kind is not i.ListKind.DELTA
         for server in (s for s in self._servers.values() if full and s.id not in named):
             self._state(server, i.BackendState.GONE)
@@ -157,9 +167,8 @@
     def _relist(self) -> None:
         listed = sorted(self._servers.values(), key=lambda s: s.id)
         self._ready = [s for s in listed if s.state is i.BackendState.READY]
-        packed = b"".join(s.hash.to_bytes(LANE, "little") for s in self._ready)
-        self._hashes = int.from_bytes(packed, "little")
-        self._lanes = int.from_bytes(MASK.to_bytes(LANE, "little") * len(self._ready), "little")
+        self._ranking = Ranking(self._ready)
+        self._listed_capacity = sum(s.capacity for s in self._ready)
         self._recount()
         self._pump()
 
@@ -170,22 +179,39 @@
         server.zone, server.cell = entry.zone, entry.cell
         server.capacity = entry.capacity if entry.capacity > 0 else 1.0
         if entry.started_us != server.started_us:
+            self._slow_start.forget(server)
             server.forget()
-            server.started_us = entry.started_us
-            if entry.started_us > 0 and self._now - entry.started_us < self._set.cold_us:
-                self._chill(server, entry.started_us, i.SlowStartCause.LISTED)
+            server.started_us, server.start_told_us = entry.started_us, self._now
+            if entry.started_us > 0:
+                # It is stated by another machine's clock: what is news while this relay runs counts from now.
+                age_us = 0
+                if not self._heard_live:
+                    age_us = listed_age_us(entry.started_us, self._newest_us, self._now)
+                self._chill(server, self._now - age_us, i.SlowStartCause.LISTED)
         self._state(server, entry.state)
 
+    def _recalled(self, event: i.Recalled) -> None:
+        recollection.recall(self, event)
+        for server in self._servers.values():
+            if server.cold_from_us >= 0:
+                self._slow_start.backends[server.id] = server
+        self._recount()
+        self.forfeit_slow_start(self._now)
+
+    def forfeit_slow_start(self, now_us: int) -> None:
+        """Two processes are this instance for a while: neither counts on what the other may have used."""
+        self._slow_start.forfeit(now_us)
+
     def _by_hand(self, event: i.ByHand) -> None:
         """Out by hand. Acts from staff's call until they call the backend back, which by then has restarted:
-        until the list tells of the start, it counts as cold from the call, and has its first slot at once."""
+        until the list tells of the start, it counts as cold from the call."""
         self._hand = self._hand | {event.backend} if event.out else self._hand - {event.backend}
         if (server := self._servers.get(event.backend)) is not None:
             if not event.out:
+                self._slow_start.forget(server)
                 server.forget()
-                since_us = server.started_us if server.started_us > server.told_us else self._now
+                since_us = server.start_told_us if server.start_told_us > server.told_us else self._now
                 self._chill(server, since_us, i.SlowStartCause.BY_HAND)
-                server.tokens = 1.0
             self._state(server, server.listed)
             self._relist()
 
@@ -230,6 +256,7 @@
     def _arrived(self, event: i.RequestArrived) -> None:
         request = self._new(event, event.left_us)
         request.mid_flow = event.mid_flow and self._set.pass_through
+        request.comes_again = event.returning or event.repeat
         self._place(request)
 
     def _resumed(self, event: i.ConnectionResumed) -> None:
@@ -291,13 +318,7 @@
         self._weigh(request, server, 1.0)
         request.tried += (server,)
         server.pending += 1
-        slow_start = None
-        if server.cold_from_us >= 0:
-            server.sent_us.append(self._now)
-            while server.sent_us[0] <= self._now - self._set.fall_us:
-                server.sent_us.popleft()
-            slow_start = i.SlowStartUse(self._share(server), len(server.sent_us), server.tokens)
-            server.tokens -= 1.0
+        slow_start = self._slow_start.send(server, self._now) if server.cold_from_us >= 0 else None
         until_us = request.deadline_us
         if request.attempts < self._set.max_attempts:
             # A silent backend must leave time for another attempt; patience grows with what set-ups take.
@@ -305,38 +326,34 @@
             until_us = min(until_us, self._now + patience_us)
         self._out.append(i.Send(request.id, server.id, until_us, self._begin_by_us(request), slow_start))
 
-    def _choose(self, request: TrackedRequest) -> TrackedBackend | None:
+    def _choose(self, request: TrackedRequest, sends: bool = True) -> TrackedBackend | None:
+        """The best backend that admits the request. Unless it `sends`, no backend in slow start admits it."""
         if self._now >= self._recount_us:
             self._recount()
+        if sends:
+            unit = max(self._unit(), 1e-9)
+            key_load = self._groups.get(request.hash, 0.0) / unit
+            self._slow_start.look(self._open_warm, key_load, self._load / unit, self._now)
         if request.mid_flow and request.attempts == 0:
-            return self._holder(request)
+            holder = self._holder(request)
+            if holder is None or self._admits_cold(holder, request, sends):
+                return holder
         spare = last = None
         for server in self._order(request):
             if not self._may(request, server):
                 continue
             if not self._healthy(server):
-                last = last or server
-            elif self._warm_enough(server) and not self._crowded(server, 1.0):
-                if not self._below_limit(server, request.load):
-                    continue
-                if not self._crowded(server, 0.5) and self._bounded(server, request.load):
+                if last is None and self._admits_cold(server, request, sends):
+                    last = server
+            elif not self._crowded(server, 1.0) and self._below_limit(server, request.load):
+                uncrowded = not self._crowded(server, 0.5) and self._bounded(server, request.load)
+                if uncrowded and self._admits_cold(server, request, sends):
                     return server
                 if server.cold_from_us < 0:
                     spare = spare or server
         # All over their bound: the best not crowded. None healthy in reach: the best ejected one, after all.
         return spare or (last if self._capacity <= 0 else None)
 
-    def _ranked(self, k: int) -> Iterator[TrackedBackend]:
-        """The highest score first: one product gives all, few are compared beyond their top byte."""
-        lanes = ((self._hashes * k) & self._lanes).to_bytes(LANE * len(self._ready), "little")
-        tops = lanes[3::LANE]
-        for top in range(255, -1, -1) if len(tops) > 255 else sorted(set(tops), reverse=True):
-            n, found = tops.find(top), list[tuple[int, int]]()
-            while n >= 0:
-                found.append((-int.from_bytes(lanes[LANE * n : LANE * n + 4], "little"), n))
-                n = tops.find(top, n + 1)
-            yield from (self._ready[n] for _, n in sorted(found))  # the lowest id among equal scores
-
     def _order(self, request: TrackedRequest) -> Iterator[TrackedBackend]:
         """The best scores, highest first. A group whose load here makes up several fair loads is heavier
         than a backend: its connections spread over as many of its best scores, each by its own client key."""
@@ -344,7 +361,7 @@
         if request.client and self._load > 0 and not self._others:
             fair = SPREAD * self._load / max(1, len(self._ready))
             spread = 1 + int(max(0.0, self._groups.get(request.hash, 0.0) - self._unit() / 2) / fair)
-        ranked = islice(self._ranked(request.hash), DEPTH)
+        ranked = islice(self._ranking.highest_first(request.hash), DEPTH)
         yield from sorted(islice(ranked, spread), key=lambda s: (-((s.hash * request.client) & MASK), s.id))
         yield from ranked
 
@@ -371,14 +388,12 @@
         if not self._below_limit(server, load):
             grown = (server.held() + load / 2) / server.limit - 1.0 if server.limit > 0 else math.inf
             opens = max(opens, server.limit_us + SECOND * grown / LIMIT_GROWTH)
-        if not self._warm_enough(server):
-            fair, age_us = self._fair(server), self._now - server.cold_from_us
-            share = self._bold() * self._share(server)
-            rate = self._slots(server, share * fair)
-            slot_us = max(0.0, 1.0 - server.tokens) / rate if rate > 0 else math.inf
+        if server.cold_from_us >= 0:
+            fair, share = self._fair(server), self._bold() * self._share(server)
             room = (server.held() / fair - share) / (1 - self._set.cold_from) if fair > 0 else math.inf
-            room_us = max(0.0, room) * self._set.cold_us
-            opens = max(opens, self._now + min(max(slot_us, room_us), self._set.cold_us - age_us))
+            room_us = max(0.0, room) * self._set.cold_us if server.held() > 0 else 0.0
+            opens = max(opens, self._now + room_us, self._slow_start.opens_us(server, self._now))
+            opens = min(opens, max(self._now, server.cold_from_us + self._set.cold_us))
         return opens
 
     def _holder(self, request: TrackedRequest) -> TrackedBackend | None:
@@ -464,10 +479,26 @@
 
     def _recount(self) -> None:
         self._recount_us = self._now + PUMP_US  # those that warm up have more by then
+        for server in self._slow_start.ended(self._now):
+            self._slow_start.forget(server)
+            if server.listed is not i.BackendState.GONE:
+                self._out.append(i.SlowStartChanged(server.id, i.SlowStartCause.WARM))
         works = (s for s in self._ready if s.ejected_until <= self._now or (s.errors and s.open))  # full ones
         shares = {s: s.capacity * self._share(s) for s in works}
         self._capacity = sum(shares.values())
         self._open = sum(c for s, c in shares.items() if not self._crowded(s, 0.5) and self._bounded(s, 0.0))
+        self._divide_slow_start([s for s in shares if s.cold_from_us < 0])
+
+    def _divide_slow_start(self, warm: list[TrackedBackend]) -> None:
+        """This relay's part in each slow start, by the connections that all relays hold. Relays that were not
+        heard are taken to hold as many each as those that were."""
+        if not self._slow_start.backends:
+            return
+        unheard = max(1.0, self._set.instances / max(1, self._relays))
+        each = (self._count + self._others_count) * unheard / max(self._listed_capacity, 1e-9)
+        self._open_warm = sum(not self._crowded(s, 0.5) and self._bounded(s, 0.0) for s in warm)
+        for server in self._slow_start.backends.values():
+            self._slow_start.divide(server, each * server.capacity, self._relays, self._now)
 
     def _paced(self, request: TrackedRequest) -> bool:
         """Congestion control. Acts after backends answer set-ups with errors, as before a shared store that
@@ -498,44 +529,28 @@
         self._pace_tokens = min(self._pace_tokens, 0.0)
 
     def _share(self, server: TrackedBackend) -> float:
-        """What a backend is sure to have of its capacity: less than 1 while it warms up."""
+        """What a backend is sure to have of its capacity."""
+        return self._slow_start.share(server, self._now)
+
+    def _admits_cold(self, server: TrackedBackend, request: TrackedRequest, sends: bool) -> bool:
+        """Slow start. Acts during the warm-up. The load there stays under the fair load times the share of
+        its capacity that the backend is sure to have, and what is sent under what `SlowStart` allows."""
         if server.cold_from_us < 0:
-            return 1.0
-        age = (self._now - server.cold_from_us) / self._set.cold_us
-        return min(1.0, self._set.cold_from + (1 - self._set.cold_from) * age)
-
-    def _warm_enough(self, server: TrackedBackend) -> bool:
-        """Slow start. Acts during the warm-up. This relay's load there stays under the fair load times the
-        share of its capacity that the backend is sure to have. Sends are slots, in two windows as many as
-        make up that load; unused for (multiple - 1) windows they lapse, or relays would save them up."""
-        if self._share(server) >= 1.0:
-            if server.cold_from_us >= 0:
-                self._out.append(i.SlowStartChanged(server.id, i.SlowStartCause.WARM))
-            server.cold_from_us = -1
             return True
-        allowed = self._bold() * self._share(server) * self._fair(server)
-        rate = self._slots(server, allowed)
-        server.tokens += rate * (self._now - server.token_us)
-        server.token_us = self._now
-        full = 1.0 + rate * self._set.fall_us * max(1.0, self._set.fall_multiple - 1)
-        if server.tokens > full:
-            server.tokens = full - 1.0 + (server.tokens - full) % 1.0
-        return server.tokens >= 1.0 and server.held() <= allowed
+        if not sends or server.held() > self._bold() * self._share(server) * self._fair(server):
+            return False
+        weight = request.load / max(self._unit(), 1e-9)
+        return self._slow_start.admits(server, weight, request.comes_again, self._now)
 
     def _bold(self) -> float:
         """A cold one's share is the least it may have: many relays, of which each sends little, risk more."""
         return BOLD if self._relays >= MANY and self._now < self._fresh_until_us else 1.0
 
-    def _slots(self, server: TrackedBackend, allowed: float) -> float:
-        """Sends a microsecond of this relay to a cold backend: more while the sum is fresh, as most lapse."""
-        missing = SLOTS_MANY * max(0.0, allowed - server.held())
-        slots = missing if self._bold() > 1.0 else allowed * (SLOTS_HEARD if self._relays > 1 else 1.0)
-        return slots / self._relays / max(self._unit(), 1e-9) / (2 * self._set.fall_us)
-
     def _chill(self, server: TrackedBackend, since_us: int, cause: i.SlowStartCause) -> None:
-        self._out.append(i.SlowStartChanged(server.id, cause, self._now - since_us))
-        server.cold_from_us, server.token_us = since_us, self._now
-        server.tokens = self._random.random()  # at one level, relays would all send in the same moment
+        news = self._heard_live and cause is i.SlowStartCause.LISTED
+        if self._slow_start.begin(server, since_us, news, self._now):
+            self._out.append(i.SlowStartChanged(server.id, cause, self._now - since_us))
+            self._recount_us = self._now  # its part is worked out before anything is sent there
 
     # ------------------------------------------------------------------ attempts
 
--- /dev/null
+++ b/sailrun/slow_start.py
@@ -0,0 +1,175 @@
+"""Slow start: how much a backend that has just started is sent, by all instances of the tier together.
+
+Such a backend falls over when it gets more requests of mean work within `fall_us` than it bears:
+N + 3 * sqrt(N) + 3, or N + 2 * sqrt(N) + 2 from N = 30 on, where N is what `fall_multiple` times its present
+capacity comes to in that time. No instance sees what the others send just now, no message need arrive and no
+two clocks need agree, so each keeps to a part of its own that bounds the sum:
+
+- The tier's mean is set four standard deviations of chance below what the backend bears, and is divided by
+  the number of instances, which is stated, not learned.
+- A part is often far less than one request. So it is spent as chances: each request that this instance places
+  takes from the part the chance that it would have gone to this backend, whether it does or not, and only if
+  that much was left may it. In quiet times nearly every such request may; in a rush at all instances at once
+  the sum of their chances stays the tier's mean.
+- What is not used lapses within a fifth of the window, so that a quiet time saves up nothing for a rush.
+- Whatever chance says, an instance sends at most its part of what the backend bears, rounded down, or one.
+
+An instance that is alone in its tier sees all that is sent, and counts instead of taking chances.
+
+Source: the operators' rule on fail-back. Its capacity is told nowhere; it is reckoned from the connections
+that stand, which fill a backend over `cold_us` at the least.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from random import Random
+
+from sailrun import interface as i
+from sailrun.tracked import TrackedBackend
+
+# From so many calls on, less is allowed for chance.
+MANY_CALLS = 30
+# Between the tier's mean and what a backend bears; the least mean, where nothing is known of a backend.
+DEVIATIONS = 3.0
+LEAST_MEAN = 1.0
+# Of the tier's mean in one window, what flows in evenly, and the most that may be left over.
+FLOW, LEFT_OVER = 0.8, 1.0
+# Clients that lost their backend come again together, with all of their group, and whole groups go one way:
+# more of them than chance would have it. So each weighs as much more.
+TOGETHER = 3.0
+
+
+def bearable(calls: float) -> float:
+    """Requests within one window that a backend bears for certain where `calls` are expected of it."""
+    if calls < MANY_CALLS:
+        return calls + 3 * math.sqrt(calls) + 3
+    return calls + 2 * math.sqrt(calls) + 2
+
+
+def safe_mean(limit: float) -> float:
+    """The mean of a count that stays within `limit` by `DEVIATIONS` standard deviations."""
+    root = (math.sqrt(DEVIATIONS**2 + 4 * limit) - DEVIATIONS) / 2
+    return max(LEAST_MEAN, root**2)
+
+
+def newest_start_us(starts: Mapping[int, int], cold_us: int) -> int:
+    """When the newest of these backends started, in Unix us; 0: unknown, or most of them started with it."""
+    newest_us = max(starts.values(), default=0)
+    together = sum(newest_us - start_us < cold_us for start_us in starts.values())
+    return newest_us if 2 * together <= len(starts) else 0
+
+
+def listed_age_us(started_us: int, newest_us: int, now_us: int) -> int:
+    """How old a backend surely is that was listed before this instance ran. Only the clocks of two machines
+    can tell, and either may be set wrong: it is not taken to be older than it is beside the newest one.
+    """
+    age_us = max(0, now_us - started_us)
+    return min(age_us, newest_us - started_us) if newest_us else age_us
+
+
+class SlowStart:
+    """One instance's part in the slow start of every backend. Times are on the instance's monotonic clock."""
+
+    def __init__(self, settings: i.Settings, random: Random) -> None:
+        self._settings, self._random = settings, random
+        self._window_us = max(1, settings.fall_us)
+        self._instances = settings.instances
+        self._expected = 1.0  # the chance that the last request placed would go to any one open backend
+        self.backends: dict[int, TrackedBackend] = {}  # in slow start
+
+    def begin(self, server: TrackedBackend, since_us: int, news: bool, now_us: int) -> bool:
+        """False where the settings know no slow start, or it is over by now. `news`: neither this process nor
+        one before it has sent the backend anything; else nothing is left in this window.
+        """
+        if now_us - since_us >= self._settings.cold_us:
+            return False
+        server.cold_from_us, server.token_us = since_us, now_us
+        server.tokens = LEFT_OVER * self._random.random() if news else 0.0
+        server.part, server.most, server.chance = 0.0, 1, 0.0
+        self.backends[server.id] = server
+        return True
+
+    def forget(self, server: TrackedBackend) -> None:
+        """It is warm, or another process has taken its place."""
+        server.cold_from_us = -1
+        self.backends.pop(server.id, None)
+
+    def ended(self, now_us: int) -> list[TrackedBackend]:
+        """Those whose slow start is over."""
+        return [s for s in self.backends.values() if self.share(s, now_us) >= 1.0]
+
+    def share(self, server: TrackedBackend, now_us: int) -> float:
+        """What a backend is sure to have of its capacity: less than 1 while it warms up."""
+        if server.cold_from_us < 0:
+            return 1.0
+        age = (now_us - server.cold_from_us) / self._settings.cold_us
+        return min(1.0, self._settings.cold_from + (1 - self._settings.cold_from) * age)
+
+    def divide(self, server: TrackedBackend, connections: float, heard: int, now_us: int) -> None:
+        """Works out this instance's part anew. `connections`: those that a warm backend of its size holds, of
+        all instances; `heard`: the instances known to run, this one among them.
+        """
+        self._instances = max(self._settings.instances, heard)
+        capacity = connections * self._window_us / self._settings.cold_us
+        limit = bearable(self._settings.fall_multiple * self.share(server, now_us) * capacity)
+        mean = safe_mean(limit)
+        server.part = mean / self._instances
+        server.most = max(1, int(mean if self._alone else limit / self._instances))
+
+    @property
+    def _alone(self) -> bool:
+        return self._instances == 1
+
+    def look(self, open_warm: int, key_load: float, load: float, now_us: int) -> None:
+        """A request is about to be placed, with so many warm backends open to it. `key_load`, of this
+        instance's whole `load`, in mean connections: what has the request's key, and so goes where it goes.
+        """
+        open_backends = max(1.0, open_warm + sum(server.chance for server in self.backends.values()))
+        self._expected = max(1.0 / open_backends, (key_load + 1.0) / (load + open_backends))
+        for server in self.backends.values():
+            self._refill(server, now_us)
+            server.chance = min(1.0, server.tokens * server.part / self._expected)
+            if server.chance > 0:
+                server.tokens -= self._expected * server.chance / server.part
+
+    def _refill(self, server: TrackedBackend, now_us: int) -> None:
+        gained = FLOW * (now_us - server.token_us) / self._window_us
+        server.tokens = min(LEFT_OVER, server.tokens + gained)
+        server.token_us = now_us
+
+    def admits(self, server: TrackedBackend, weight: float, comes_again: bool, now_us: int) -> bool:
+        """Whether the request that was looked at may go to this backend; asked once. `weight`: its work, as a
+        multiple of a mean request's; `comes_again`: as its whole group may.
+        """
+        if self._sent(server, now_us) >= server.most:
+            return False
+        weight = max(1.0, weight) * (TOGETHER if comes_again else 1.0)
+        return self._alone or self._random.random() * weight < server.chance
+
+    def send(self, server: TrackedBackend, now_us: int) -> i.SlowStartUse:
+        """A request goes there."""
+        server.sent_us.append(now_us)
+        return i.SlowStartUse(self.share(server, now_us), self._sent(server, now_us), server.part)
+
+    def _sent(self, server: TrackedBackend, now_us: int) -> int:
+        while server.sent_us and server.sent_us[0] <= now_us - self._window_us:
+            server.sent_us.popleft()
+        return len(server.sent_us)
+
+    def opens_us(self, server: TrackedBackend, now_us: int) -> float:
+        """When a request that waits for this backend can expect to be admitted."""
+        opens: float = now_us
+        if (over := self._sent(server, now_us) - server.most) >= 0:
+            opens = server.sent_us[over] + self._window_us
+        if not self._alone:
+            missing = max(0.0, self._expected / max(1e-9, server.part) - server.tokens)
+            opens = max(opens, now_us + missing * self._window_us / FLOW)
+        return opens
+
+    def forfeit(self, now_us: int) -> None:
+        """Another process of this instance may have used its parts up: none is left in this window."""
+        for server in self.backends.values():
+            server.tokens, server.token_us, server.chance = 0.0, now_us, 0.0
+            server.sent_us.extend([now_us] * server.most)
--- a/sailrun/tracked.py
+++ b/sailrun/tracked.py
@@ -26,6 +26,7 @@
         self.open: dict[str, TrackedRequest] = {}  # connections that stand, in the order they came
         self.pending, self.load = 0, 0.0  # attempts out that do not stand yet; of these and what is open
         self.told_us, self.started_us = 0, -1  # when this instance was told that it drains or is gone
+        self.start_told_us = 0  # when it was told of the present start
         self.state = self.listed = i.BackendState.GONE  # as listed it may be ready, and out by hand
         self.sent_us: deque[int] = deque()  # this instance's latest sends to it in slow start
         self.forget()
@@ -43,8 +44,10 @@
         self.delay_us = self.resets_us = self.missed_us = -NOTE_US
         self.late_ms, self.late_us = 0.0, 0  # how much longer than usual set-ups take here
         self.limit, self.limit_us = math.inf, -LIMIT_US  # on the load known of, learned from crowding
-        # The start of its warm-up, -1: warm; the slots it has for this relay, and since when.
+        # In slow start: its begin, -1: warm; what is left of this instance's part, 0 to 1, and since when.
         self.cold_from_us, self.tokens, self.token_us = -1, 0.0, 0
+        # This instance's part of one window; the most it sends in one; the chance of the latest request.
+        self.part, self.most, self.chance = 0.0, 1, 0.0
 
 
 class TrackedRequest:
@@ -55,5 +58,6 @@
         self.ran_at: TrackedBackend | None = None  # the first attempt that may have run
         self.attempts = self.sent_us = self.ran_us = 0
         self.opened = self.mid_flow = False
+        self.comes_again = False  # after a break, a move or a refusal, as many do at one time
         self.client = 0  # hash of the client's own key where a group key decides; 0: none
         self.load, self.not_before_us = 1.0, 0  # after an error it is not sent again before this
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -48,6 +48,7 @@
         "itertools",
         "math",
         "random",
+        "typing",
         "mmh3",
         "sailrun",
         "sailrun.validate",
