Spend what a form server in slow start surely bears, and no longer starve it

Its mean was reckoned from the sessions of a usual form server, empty and young ones among them; a node whose part would have been a request still took chances; a form server only assumed to have restarted was held to the same; a start counted from the news even where the clocks agreed. Change: what fills a form server is the median of the warm ones, or what one core bears of the loads told; where a part comes to a request, a count bounds the sum; two standard deviations instead of three, sessions that come again weigh two; assumed restarts take the whole mean.

--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -15,7 +15,8 @@
 from sailrun import interface as i
 from sailrun import recollection
 from sailrun.rendezvous import MASK, Ranking, key_hash
-from sailrun.slow_start import SlowStart, listed_age_us, newest_start_us
+from sailrun.slow_start import SlowStart
+from sailrun.start_dates import StartDates
 from sailrun.tracked import LIMIT_US, NOTE_US, TrackedBackend, TrackedRequest
 from sailrun.validate import check_settings
 
@@ -37,6 +38,8 @@
 LATEST_TOOK, FEW_TOOK = 64, 8
 # Bounded loads: the multiple of the fair share, its roots, connections.
 BOUND, BOUND_ROOT, BOUND_MORE = 1.15, 1.0, 1.0
+# What the slowest core does of the work that connections are told to ask for, in us a second.
+CORE_US = 800_000.0
 # Of its sure share, what a backend in slow start holds while so many relays are heard of.
 BOLD, MANY = 1.6, 16
 # A crowded backend's limit: the share that one cut leaves of it; its growth a second.
@@ -58,7 +61,7 @@
     def __init__(self, settings: i.Settings, seed: int, now_us: int) -> None:
         check_settings(settings)
         self._set, self._random, self._now = settings, Random(seed), now_us
-        self._slow_start = SlowStart(settings, self._random)
+        self._slow_start, self._dates = SlowStart(settings, self._random), StartDates(settings.cold_us)
         self._classes = {cls.name: cls for cls in settings.classes}
         aims = [cls.message_objective_us for cls in settings.classes if cls.message_objective_us > 0]
         self._aim_ms = min(aims) / 1_000 if aims else 0.0
@@ -86,8 +89,6 @@
         # Until when the sum is fresh; load placed since it; capacity of those that it may go to.
         self._fresh_until_us, self._since, self._open = now_us, 0.0, 0.0
         self._open_warm, self._listed_capacity = 0, 0.0
-        # Whether a list has come that was not the one known at the start; the newest start listed.
-        self._heard_live, self._newest_us = False, 0
         self._out: list[i.Action] = []
         self._handlers: dict[type, Callable[..., None]] = {
             i.RequestArrived: self._arrived, i.ConnectionOpened: self._stands, i.AttemptEnded: self._ended,
@@ -153,12 +154,10 @@
         named = {entry.id for entry in event.backends}
         if named and event.kind is not i.ListKind.CACHED:
             self._alert_until_us = self._now + self._set.cold_us
-        starts = {s.id: max(0, s.started_us) for s in self._servers.values()}
-        starts |= {entry.id: entry.started_us for entry in event.backends}
-        self._newest_us = newest_start_us(starts, self._set.cold_us)
+        self._dates.listed({s.id: max(0, s.started_us) for s in self._servers.values()}, event.backends)
         for entry in event.backends:
             self._entry(entry)
-        self._heard_live = self._heard_live or event.kind is not i.ListKind.CACHED
+        self._dates.running = self._dates.running or event.kind is not i.ListKind.CACHED
         full = event.kind is not i.ListKind.DELTA
         for server in (s for s in self._servers.values() if full and s.id not in named):
             self._state(server, i.BackendState.GONE)
@@ -183,10 +182,7 @@
             server.forget()
             server.started_us, server.start_told_us = entry.started_us, self._now
             if entry.started_us > 0:
-                # It is stated by another machine's clock: what is news while this relay runs counts from now.
-                age_us = 0
-                if not self._heard_live:
-                    age_us = listed_age_us(entry.started_us, self._newest_us, self._now)
+                age_us = self._dates.age_us(entry.started_us, self._now)
                 self._chill(server, self._now - age_us, i.SlowStartCause.LISTED)
         self._state(server, entry.state)
 
@@ -490,15 +486,21 @@
         self._divide_slow_start([s for s in shares if s.cold_from_us < 0])
 
     def _divide_slow_start(self, warm: list[TrackedBackend]) -> None:
-        """This relay's part in each slow start, by the connections that all relays hold. Relays that were not
-        heard are taken to hold as many each as those that were."""
+        """This relay's part in each slow start, by the connections that fill a warm backend: those that all
+        relays hold at a usual one, or what one core bears of the loads told. Relays that were not heard are
+        taken to hold as many each as those that were."""
         if not self._slow_start.backends:
             return
         unheard = max(1.0, self._set.instances / max(1, self._relays))
         each = (self._count + self._others_count) * unheard / max(self._listed_capacity, 1e-9)
-        self._open_warm = sum(not self._crowded(s, 0.5) and self._bounded(s, 0.0) for s in warm)
+        well = [s for s in warm if not self._crowded(s, 0.5)]
+        self._open_warm = sum(self._bounded(s, 0.0) for s in well)
+        if unheard == 1.0 and well:
+            borne = sorted(s.held() / s.capacity for s in well)
+            each = max(each, borne[len(borne) // 2] / max(self._unit(), 1e-9))
+        core = CORE_US / max(self._unit(), 1e-9) if self._class_load else 0.0
         for server in self._slow_start.backends.values():
-            self._slow_start.divide(server, each * server.capacity, self._relays, self._now)
+            self._slow_start.divide(server, max(core, each * server.capacity), self._relays, self._now)
 
     def _paced(self, request: TrackedRequest) -> bool:
         """Congestion control. Acts after backends answer set-ups with errors, as before a shared store that
@@ -547,8 +549,9 @@
         return BOLD if self._relays >= MANY and self._now < self._fresh_until_us else 1.0
 
     def _chill(self, server: TrackedBackend, since_us: int, cause: i.SlowStartCause) -> None:
-        news = self._heard_live and cause is i.SlowStartCause.LISTED
-        if self._slow_start.begin(server, since_us, news, self._now):
+        news = self._dates.running and cause is i.SlowStartCause.LISTED
+        assumed = cause is i.SlowStartCause.ANSWERS_AGAIN and (server.assumed or server.cold_from_us < 0)
+        if self._slow_start.begin(server, since_us, news, assumed, self._now):
             self._out.append(i.SlowStartChanged(server.id, cause, self._now - since_us))
             self._recount_us = self._now  # its part is worked out before anything is sent there
 
--- a/sailrun/slow_start.py
+++ b/sailrun/slow_start.py
@@ -5,25 +5,22 @@
 capacity comes to in that time. No instance sees what the others send just now, no message need arrive and no
 two clocks need agree, so each keeps to a part of its own that bounds the sum:
 
-- The tier's mean is set four standard deviations of chance below what the backend bears, and is divided by
-  the number of instances, which is stated, not learned.
-- A part is often far less than one request. So it is spent as chances: each request that this instance places
-  takes from the part the chance that it would have gone to this backend, whether it does or not, and only if
-  that much was left may it. In quiet times nearly every such request may; in a rush at all instances at once
-  the sum of their chances stays the tier's mean.
-- What is not used lapses within a fifth of the window, so that a quiet time saves up nothing for a rush.
-- Whatever chance says, an instance sends at most its part of what the backend bears, rounded down, or one.
-
-An instance that is alone in its tier sees all that is sent, and counts instead of taking chances.
+- Where the part of one instance comes to a request or more, it counts what it sends, and sends no more.
+- Else the tier's mean is set two standard deviations of chance below what the backend bears, and is divided
+  by the number of instances, which is stated, not learned. The part of one is less than a request, and is
+  spent as chances: each request that the instance places takes from it the chance that it would have gone to
+  this backend, whether it does or not, and only by as much may it. In quiet times most such requests may;
+  in a rush at all instances at once the sum of their chances stays near the tier's mean.
+- What is left over from a quiet time is one window's part at the most.
+- Whatever chance says, an instance whose part is less sends one request in a window.
 
 Source: the operators' rule on fail-back. Its capacity is told nowhere; it is reckoned from the connections
-that stand, which fill a backend over `cold_us` at the least.
+that stand or from their told loads, of which a backend can take at least as many as fill it over `cold_us`.
 """
 
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
 from random import Random
 
 from sailrun import interface as i
@@ -32,13 +29,15 @@
 # From so many calls on, less is allowed for chance.
 MANY_CALLS = 30
 # Between the tier's mean and what a backend bears; the least mean, where nothing is known of a backend.
-DEVIATIONS = 3.0
+DEVIATIONS = 2.0
 LEAST_MEAN = 1.0
 # Of the tier's mean in one window, what flows in evenly, and the most that may be left over.
 FLOW, LEFT_OVER = 0.8, 1.0
+# Of what a backend bears, what is sent where each instance's part is a request or more, and a count will do.
+MOST = 0.85
 # Clients that lost their backend come again together, with all of their group, and whole groups go one way:
 # more of them than chance would have it. So each weighs as much more.
-TOGETHER = 3.0
+TOGETHER = 2.0
 
 
 def bearable(calls: float) -> float:
@@ -54,21 +53,6 @@
     return max(LEAST_MEAN, root**2)
 
 
-def newest_start_us(starts: Mapping[int, int], cold_us: int) -> int:
-    """When the newest of these backends started, in Unix us; 0: unknown, or most of them started with it."""
-    newest_us = max(starts.values(), default=0)
-    together = sum(newest_us - start_us < cold_us for start_us in starts.values())
-    return newest_us if 2 * together <= len(starts) else 0
-
-
-def listed_age_us(started_us: int, newest_us: int, now_us: int) -> int:
-    """How old a backend surely is that was listed before this instance ran. Only the clocks of two machines
-    can tell, and either may be set wrong: it is not taken to be older than it is beside the newest one.
-    """
-    age_us = max(0, now_us - started_us)
-    return min(age_us, newest_us - started_us) if newest_us else age_us
-
-
 class SlowStart:
     """One instance's part in the slow start of every backend. Times are on the instance's monotonic clock."""
 
@@ -79,14 +63,17 @@
         self._expected = 1.0  # the chance that the last request placed would go to any one open backend
         self.backends: dict[int, TrackedBackend] = {}  # in slow start
 
-    def begin(self, server: TrackedBackend, since_us: int, news: bool, now_us: int) -> bool:
+    def begin(self, server: TrackedBackend, since_us: int, news: bool, assumed: bool, now_us: int) -> bool:
         """False where the settings know no slow start, or it is over by now. `news`: neither this process nor
-        one before it has sent the backend anything; else nothing is left in this window.
+        one before it has sent the backend anything; else nothing is left in this window. `assumed`: nobody
+        has said that it started.
         """
         if now_us - since_us >= self._settings.cold_us:
             return False
         server.cold_from_us, server.token_us = since_us, now_us
-        server.tokens = LEFT_OVER * self._random.random() if news else 0.0
+        server.assumed = assumed
+        unused = news and not self._sent(server, now_us)
+        server.tokens = LEFT_OVER * self._random.random() if unused else 0.0
         server.part, server.most, server.chance = 0.0, 1, 0.0
         self.backends[server.id] = server
         return True
@@ -108,19 +95,17 @@
         return min(1.0, self._settings.cold_from + (1 - self._settings.cold_from) * age)
 
     def divide(self, server: TrackedBackend, connections: float, heard: int, now_us: int) -> None:
-        """Works out this instance's part anew. `connections`: those that a warm backend of its size holds, of
-        all instances; `heard`: the instances known to run, this one among them.
+        """Works out this instance's part anew. `connections`: those of all instances that fill it once it is
+        warm; `heard`: the instances known to run, this one among them.
         """
         self._instances = max(self._settings.instances, heard)
         capacity = connections * self._window_us / self._settings.cold_us
         limit = bearable(self._settings.fall_multiple * self.share(server, now_us) * capacity)
         mean = safe_mean(limit)
         server.part = mean / self._instances
-        server.most = max(1, int(mean if self._alone else limit / self._instances))
-
-    @property
-    def _alone(self) -> bool:
-        return self._instances == 1
+        # What is not known to have started most likely has not: to keep away from it as well costs more.
+        most = mean if server.assumed else MOST * limit / self._instances
+        server.most, server.counts = max(1, int(most)), most >= 1
 
     def look(self, open_warm: int, key_load: float, load: float, now_us: int) -> None:
         """A request is about to be placed, with so many warm backends open to it. `key_load`, of this
@@ -146,7 +131,7 @@
         if self._sent(server, now_us) >= server.most:
             return False
         weight = max(1.0, weight) * (TOGETHER if comes_again else 1.0)
-        return self._alone or self._random.random() * weight < server.chance
+        return server.counts or self._random.random() * weight < server.chance
 
     def send(self, server: TrackedBackend, now_us: int) -> i.SlowStartUse:
         """A request goes there."""
@@ -163,7 +148,7 @@
         opens: float = now_us
         if (over := self._sent(server, now_us) - server.most) >= 0:
             opens = server.sent_us[over] + self._window_us
-        if not self._alone:
+        if not server.counts:
             missing = max(0.0, self._expected / max(1e-9, server.part) - server.tokens)
             opens = max(opens, now_us + missing * self._window_us / FLOW)
         return opens
--- a/sailrun/tracked.py
+++ b/sailrun/tracked.py
@@ -48,6 +48,8 @@
         self.cold_from_us, self.tokens, self.token_us = -1, 0.0, 0
         # This instance's part of one window; the most it sends in one; the chance of the latest request.
         self.part, self.most, self.chance = 0.0, 1, 0.0
+        self.assumed = False  # nobody has said that it started; it was away and answers again
+        self.counts = False  # its part is at least one request, so that a count bounds the sum
 
 
 class TrackedRequest:
