--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -734,9 +734,10 @@
         listed = tuple(s for s in self._form_servers.values() if s.state is not i.BackendState.GONE)
         server_list = ServerListUpdate(i.ListKind.CACHED, self._revision, listed)
         draining = Reason.DRAIN in self.leaving
-        return NodeState(
-            server_list, frozenset(self._out_by_hand), draining, recollection.learned(self._module)
-        )
+        learned = recollection.learned(self._module)
+        # From now on the successor may send there as well, and neither sees what the other does.
+        self._module.forfeit_slow_start(self._now)
+        return NodeState(server_list, frozenset(self._out_by_hand), draining, learned)
 
     def _held(self) -> HeldSessions:
         holding = Holding(*self._module.holding())
--- a/sailrun/slow_start.py
+++ b/sailrun/slow_start.py
@@ -6,7 +6,7 @@
 two clocks need agree, so each keeps to a part of its own that bounds the sum:
 
 - Where the part of one instance comes to a request or more, it counts what it sends, and sends no more.
-- Else the tier's mean is set two standard deviations of chance below what the backend bears, and is divided
+- Else the tier's mean is set 2.5 standard deviations of chance below what the backend bears, and is divided
   by the number of instances, which is stated, not learned. The part of one is less than a request, and is
   spent as chances: each request that the instance places takes from it the chance that it would have gone to
   this backend, whether it does or not, and only by as much may it. In quiet times most such requests may;
@@ -29,12 +29,14 @@
 # From so many calls on, less is allowed for chance.
 MANY_CALLS = 30
 # Between the tier's mean and what a backend bears; the least mean, where nothing is known of a backend.
-DEVIATIONS = 2.0
+DEVIATIONS = 2.5
 LEAST_MEAN = 1.0
 # Of the tier's mean in one window, what flows in evenly, and the most that may be left over.
 FLOW, LEFT_OVER = 0.8, 1.0
 # Of what a backend bears, what is sent where each instance's part is a request or more, and a count will do.
 MOST = 0.85
+# More than any instance sends a backend in slow start within one window.
+FORFEITED = 1_000
 # Clients that lost their backend come again together, with all of their group, and whole groups go one way:
 # more of them than chance would have it. So each weighs as much more.
 TOGETHER = 2.0
@@ -157,4 +159,4 @@
         """Another process of this instance may have used its parts up: none is left in this window."""
         for server in self.backends.values():
             server.tokens, server.token_us, server.chance = 0.0, now_us, 0.0
-            server.sent_us.extend([now_us] * server.most)
+            server.sent_us.extend([now_us] * FORFEITED)
