Read a folder beside a process that writes to it

Cause: read_folder lists the names, then asks for each one's size and content. The same holds for `sailrun lasting show` beside a node. Change: where a file is gone, the folder is read anew, five times in all. Measured: three tests, of which the two on renames fail without the change (FileNotFoundError on the first read).

--- a/sailrun/lasting/folder.py
+++ b/sailrun/lasting/folder.py
@@ -43,6 +43,8 @@
 LONGEST_IDENTITY = 4096
 # A folder of more bytes than this is not read.
 MOST_BYTES = 4 * 1024**3
+# Where a file is gone when it comes to be read, the folder is read anew so many times in all.
+READS = 5
 # Of a snapshot, so many entries of so many bytes are a frame; between two frames there is a look at what else
 # there is to write.
 AT_ONCE, SLICE = 500, 256 * 1024
@@ -121,8 +123,17 @@
 
 def read_folder(files: Files) -> Found:
     """Reads all that is there. Nothing is written. Raises NewerSchema, or OSError where it cannot be read;
-    what is damaged raises nothing, and makes the folder doubtful.
+    what is damaged raises nothing, and makes the folder doubtful. Another process may write to it meanwhile.
     """
+    for _ in range(READS - 1):
+        try:
+            return _read_once(files)
+        except FileNotFoundError:
+            continue  # a generation took the place of another between the names and the reading
+    return _read_once(files)
+
+
+def _read_once(files: Files) -> Found:
     names = files.names()
     journals, snapshots = _numbered(names, "journal"), _numbered(names, "snapshot")
     highest = max([0, *journals, *snapshots])
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -50,6 +50,39 @@
     return files
 
 
+class Renaming(SimFiles):
+    """A folder in which another process just gives a finished snapshot its name: it is listed, then gone."""
+
+    renames = 0
+
+    def names(self) -> list[str]:
+        names = super().names()
+        if self.renames > 0:
+            self.renames -= 1
+            names.append("snapshot.9.new")
+        return names
+
+
+@pytest.mark.parametrize("renames", [1, 4])
+def test_a_folder_is_read_beside_a_process_that_writes_to_it(renames: int) -> None:
+    """A reader beside a running node ended with an error where it met the moment of a rename: `No such file
+    or directory: '.../kept/snapshot.2.new'`. The name was listed, and gone when its size was asked for.
+    """
+    files = Renaming()
+    write(files, random.Random(1), lambda number: None, 60, frozenset())
+    calm = read_folder(files)
+    files.renames = renames
+    assert read_folder(files).position == calm.position and files.renames == 0
+
+
+def test_a_file_that_stays_away_is_an_error() -> None:
+    files = Renaming()
+    write(files, random.Random(1), lambda number: None, 60, frozenset())
+    files.renames = 100
+    with pytest.raises(FileNotFoundError):
+        read_folder(files)
+
+
 def test_power_cut_at_every_step_leaves_the_state_before_or_after() -> None:
     for step in range(1, 300):
         for seed in range(4):
