Send a form server in slow start nothing for one window after a process begins

Cause: a count's window is empty in a process that begins, so a restarted node could send its part twice within one window. Change: what was listed before the process ran counts as sent to by the one before. The log names the node's part, not what was left.

--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -549,9 +549,9 @@
         return BOLD if self._relays >= MANY and self._now < self._fresh_until_us else 1.0
 
     def _chill(self, server: TrackedBackend, since_us: int, cause: i.SlowStartCause) -> None:
-        news = self._dates.running and cause is i.SlowStartCause.LISTED
+        sent = cause is i.SlowStartCause.LISTED and not self._dates.running
         assumed = cause is i.SlowStartCause.ANSWERS_AGAIN and (server.assumed or server.cold_from_us < 0)
-        if self._slow_start.begin(server, since_us, news, assumed, self._now):
+        if self._slow_start.begin(server, since_us, sent, assumed, self._now):
             self._out.append(i.SlowStartChanged(server.id, cause, self._now - since_us))
             self._recount_us = self._now  # its part is worked out before anything is sent there
 
--- a/sailrun/interface.py
+++ b/sailrun/interface.py
@@ -348,7 +348,7 @@
 
     share: float  # of the backend's capacity that it surely has, 0 to 1
     sent: int  # by this instance within the last `fall_us`, this request among them
-    allowance: float  # what this instance had left for it, in requests of mean work, before this one
+    part: float  # of what all instances may send within `fall_us`, this one's, in requests
 
 
 @dataclass(frozen=True, slots=True)
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -389,7 +389,7 @@
             server=form_server.name,
             share=round(use.share, 3),
             sent=use.sent,
-            allowance=round(use.allowance, 3),
+            part=round(use.part, 3),
         )
 
     def _order(
--- a/sailrun/slow_start.py
+++ b/sailrun/slow_start.py
@@ -65,19 +65,20 @@
         self._expected = 1.0  # the chance that the last request placed would go to any one open backend
         self.backends: dict[int, TrackedBackend] = {}  # in slow start
 
-    def begin(self, server: TrackedBackend, since_us: int, news: bool, assumed: bool, now_us: int) -> bool:
-        """False where the settings know no slow start, or it is over by now. `news`: neither this process nor
-        one before it has sent the backend anything; else nothing is left in this window. `assumed`: nobody
-        has said that it started.
+    def begin(self, server: TrackedBackend, since_us: int, sent: bool, assumed: bool, now_us: int) -> bool:
+        """False where the settings know no slow start, or it is over by now. `sent`: a process of this
+        instance before this one may have sent the backend something. `assumed`: nobody has said that it
+        started.
         """
         if now_us - since_us >= self._settings.cold_us:
             return False
         server.cold_from_us, server.token_us = since_us, now_us
         server.assumed = assumed
-        unused = news and not self._sent(server, now_us)
-        server.tokens = LEFT_OVER * self._random.random() if unused else 0.0
+        server.tokens = 0.0 if self._sent(server, now_us) else LEFT_OVER * self._random.random()
         server.part, server.most, server.chance = 0.0, 1, 0.0
         self.backends[server.id] = server
+        if sent:
+            self._forfeit(server, now_us)
         return True
 
     def forget(self, server: TrackedBackend) -> None:
@@ -138,7 +139,8 @@
     def send(self, server: TrackedBackend, now_us: int) -> i.SlowStartUse:
         """A request goes there."""
         server.sent_us.append(now_us)
-        return i.SlowStartUse(self.share(server, now_us), self._sent(server, now_us), server.part)
+        part = server.most if server.counts else server.part
+        return i.SlowStartUse(self.share(server, now_us), self._sent(server, now_us), part)
 
     def _sent(self, server: TrackedBackend, now_us: int) -> int:
         while server.sent_us and server.sent_us[0] <= now_us - self._window_us:
@@ -158,5 +160,8 @@
     def forfeit(self, now_us: int) -> None:
         """Another process of this instance may have used its parts up: none is left in this window."""
         for server in self.backends.values():
-            server.tokens, server.token_us, server.chance = 0.0, now_us, 0.0
-            server.sent_us.extend([now_us] * FORFEITED)
+            self._forfeit(server, now_us)
+
+    def _forfeit(self, server: TrackedBackend, now_us: int) -> None:
+        server.tokens, server.token_us, server.chance = 0.0, now_us, 0.0
+        server.sent_us.extend([now_us] * FORFEITED)
