Work out the newest start only before this node's first list of its own

Need: it looks at every form server that is known, and only what was listed before the process ran is dated by it. Measured: the tests of slow start and of the modules passed.

--- a/sailrun/decide.py
+++ b/sailrun/decide.py
@@ -154,7 +154,8 @@
         named = {entry.id for entry in event.backends}
         if named and event.kind is not i.ListKind.CACHED:
             self._alert_until_us = self._now + self._set.cold_us
-        self._dates.listed({s.id: max(0, s.started_us) for s in self._servers.values()}, event.backends)
+        if not self._dates.running:
+            self._dates.listed({s.id: max(0, s.started_us) for s in self._servers.values()}, event.backends)
         for entry in event.backends:
             self._entry(entry)
         self._dates.running = self._dates.running or event.kind is not i.ListKind.CACHED
