Believe both clocks on what was listed before a process began, less three seconds

Cause: a node restarted amid a release took each of the newest form servers for one that had just started, and held it short for a whole warm-up again. Change: under half an hour of age only a step of seconds can be at fault; an hour's step shows.

--- a/sailrun/start_dates.py
+++ b/sailrun/start_dates.py
@@ -13,6 +13,8 @@
 
 # A start is news after about so long; what is stated to be older than this by then is a clock's fault.
 NEWS_US, OUTDATED_US = 2_000_000, 30_000_000
+# An age under this is no clock an hour off, but perhaps one some seconds off.
+SANE_US, DOUBT_US = 1_800_000_000, 3_000_000
 
 
 class StartDates:
@@ -35,6 +37,8 @@
         age_us = max(0, now_us - started_us)
         if self.running:
             return min(age_us, NEWS_US) if age_us < OUTDATED_US else 0
-        # It was listed before this instance ran: only the two clocks can tell, and the newest of all, beside
-        # which none is older than the list says.
+        # It was listed before this instance ran: only the two clocks can tell.
+        if age_us < SANE_US:
+            return max(0, age_us - DOUBT_US)
+        # Long ago, or a clock an hour off: beside the newest of all, none is older than the list says.
         return min(age_us, self._newest_us - started_us) if self._newest_us else age_us
