--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -110,7 +110,14 @@
 
 
 @pytest.mark.parametrize("nodes", [4, 40])
-def test_all_nodes_together_fill_a_cold_server_as_fast_as_it_warms_up(nodes: int) -> None:
+@pytest.mark.parametrize("seed", range(4))
+def test_all_nodes_together_fill_a_cold_server_as_fast_as_it_warms_up(nodes: int, seed: int) -> None:
+    _, held = fills_a_cold_server(nodes, seed)
+    assert 0.4 * 200 / 11 <= held <= 1.3 * 200 / 11
+
+
+@pytest.mark.parametrize("nodes", [4, 40])
+def test_what_fills_a_cold_server_keeps_the_rule_and_is_half_a_fair_load_in_the_mean(nodes: int) -> None:
     fair, held = 200 / 11, []
     for seed in range(20):
         sends, holds = fills_a_cold_server(nodes, seed)
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -128,8 +128,7 @@
         anew.now = relay.now
         anew.feed(replace(full(*WARM, backend(COLD, 1, BEGIN + 300_000)), kind=i.ListKind.CACHED))
         total += sent_cold(anew, 20)
-    # Only a process that knows nothing of the one before may have sent as well: one request at the very most.
-    assert total <= most(relay_among(), 20, 0.25) + (1 if nodes == 1 else 0)
+    assert total <= most(relay_among(), 20, 0.25)
 
 
 def test_the_last_resort_among_ejected_ones_is_no_way_around() -> None:
