--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import re
 import shutil
 import signal
 import socket
@@ -400,7 +401,7 @@
                     return "moved"
                 if text in sent:
                     self.slowest_s = max(self.slowest_s, time.monotonic() - sent.pop(text))
-                elif not text.startswith("LOAD ") or not line.endswith(b"\n"):
+                elif re.fullmatch(rb"LOAD [0-9.]+\r\n", line) is None:
                     self.unknown_lines.append(line)
                     self._record.write(f"client {id_} gets {line!r}, which its form server has not sent")
         except OSError:
