Confine an unforeseen exception to the step, session or message that raised it

Cause, first half: the exception of one round of load reports left Node.run_once and ended the process. Only decisions ran behind a guard. A request whose attempt could not begin waited without an end.

Change: FaultBarrier runs each step, counts and logs its exception (at most once a second and step) and goes on. A command or action that raises ends its own request with a final answer. An AMQP link that fails does not end the other links of its connection.

--- a/sailrun/amqp/clients.py
+++ b/sailrun/amqp/clients.py
@@ -17,6 +17,7 @@
 from sailrun.front import FrontAcceptor, PendingConnections
 from sailrun.node.clock import log
 from sailrun.node.core import Node
+from sailrun.node.counters import InputSource
 from sailrun.node.session import FormSession, Placement
 from sailrun.node.session_transfer import SendTransfer
 
@@ -36,6 +37,8 @@
 # How long a client may take to send its open frame before its connection is closed.
 OPEN_TIMEOUT_US = 2 * SECOND
 MAX_TIME_LEFT_MS = 600_000
+# A longer description of an invalid property is cut off.
+MAX_PROBLEM_CHARACTERS = 200
 _NO_TERMINUS = proton.Terminus.UNSPECIFIED
 
 
@@ -155,13 +158,13 @@
         key, group, cls, time_left_ms = (properties.get(name) for name in (KEY, GROUP, CLASS, TIME_LEFT))
         for name, value, kind in ((KEY, key, str), (CLASS, cls, str), (TIME_LEFT, time_left_ms, int)):
             if not isinstance(value, kind) or isinstance(value, bool) or not value:
-                self._detach("bad-request", BAD_REQUEST, f"property '{name}' is {value!r}")
+                self._reject_request(f"property '{name}' is {value!r}")
                 return
         if cls not in self._client_connection.classes:
-            self._detach("bad-request", BAD_REQUEST, f"property '{CLASS}' is {cls!r}, which does not exist")
+            self._reject_request(f"property '{CLASS}' is {cls!r}, which does not exist")
             return
         if group is not None and not isinstance(group, str):
-            self._detach("bad-request", BAD_REQUEST, f"property '{GROUP}' is {group!r}")
+            self._reject_request(f"property '{GROUP}' is {group!r}")
             return
         assert isinstance(time_left_ms, int)
         self._session = FormSession(
@@ -174,11 +177,17 @@
         )
         self._node.request_session(self._session)
 
+    def _reject_request(self, problem: str) -> None:
+        self._node.input_rejected(InputSource.CLIENT)
+        self._detach("bad-request", BAD_REQUEST, problem[:MAX_PROBLEM_CHARACTERS])
+
     # ------------------------------------------------------------------ commands of the core
 
     def start_attempt(self, placement: Placement) -> None:
         """Starts an attempt; returns at once."""
-        self._client_connection.group.start_soon(self._run_attempt, placement)
+        self._client_connection.group.start_soon(
+            self._node.barrier.run_task, "amqp-attempt", self._run_attempt, placement
+        )
 
     def cancel_attempt(self, attempt: int) -> None:
         """Cancels the attempt that is under way."""
@@ -198,7 +207,7 @@
         """Moves the client to another node: detaches the link once its transfers have their outcomes."""
         if not self._moving:
             self._moving = True
-            self._client_connection.group.start_soon(self._move)
+            self._client_connection.group.start_soon(self._node.barrier.run_task, "amqp-move", self._move)
 
     def transfer(self, send: SendTransfer) -> None:
         """Does nothing: a link cannot be transferred, because proton's state of its connection is in this
@@ -460,7 +469,8 @@
         elif kind == proton.Event.LINK_REMOTE_OPEN:
             client_link = ClientLink(self, event.link)
             self._links[event.link.name, event.link.is_sender] = client_link
-            client_link.request_session()
+            if not self.node.barrier.run("amqp-attach", client_link.request_session):
+                client_link.fail()
         elif kind in (proton.Event.LINK_REMOTE_CLOSE, proton.Event.LINK_REMOTE_DETACH):
             self._remove_link(event.link)
         elif kind == proton.Event.SESSION_REMOTE_CLOSE:
@@ -502,4 +512,4 @@
     def make_connection(sock: socket.socket) -> ClientConnection:
         return ClientConnection(node, Connection(sock), settings, pending)
 
-    return FrontAcceptor(listener, "amqp", make_connection, pending)
+    return FrontAcceptor(listener, "amqp", make_connection, pending, node.barrier)
--- a/sailrun/control/calls.py
+++ b/sailrun/control/calls.py
@@ -116,6 +116,9 @@
     yield f"{PREFIX}.backend_calls:{metrics.backend_calls}|c"
     yield f"{PREFIX}.reconfig_ok:{metrics.reconfig_ok}|c"
     yield f"{PREFIX}.reconfig_failed:{metrics.reconfig_failed}|c"
+    yield f"{PREFIX}.faults:{metrics.faults}|c"
+    for source, count in metrics.rejected_inputs.items():
+        yield f"{PREFIX}.rejected_inputs.{source}:{count}|c"
     yield f"{PREFIX}.inflight:{metrics.inflight}|g"
     yield f"{PREFIX}.hosts_listed:{metrics.hosts_listed}|g"
     yield f"{PREFIX}.hosts_down:{metrics.hosts_down}|g"
--- a/sailrun/control/server.py
+++ b/sailrun/control/server.py
@@ -121,25 +121,32 @@
     async def _accept_callers(self, group: TaskGroup) -> None:
         while True:
             await anyio.wait_readable(self._listener)
-            if self._reserved_descriptors:
-                # No other task runs between closing and accepting, so the new socket gets this descriptor.
-                os.close(self._reserved_descriptors.pop())
-                try:
-                    sock = self._listener.accept()[0]
-                except OSError:  # the caller has disconnected, or the system has no descriptors left
-                    self._reserve_descriptors()
-                else:
-                    self._caller_count += 1
-                    group.start_soon(self._serve, Connection(sock, MAX_CALL_BYTES))
+            with self._node.barrier.guard("control-accept"):
+                if self._accept_caller(group):
                     continue
-            else:
-                # Disconnects many idle callers at once: one by one, a hundred of them would take a second.
-                for scope in list(islice(self._idle_scopes, MAX_CALLERS // 2)):
-                    del self._idle_scopes[scope]
-                    scope.cancel()
             await anyio.sleep_until(anyio.current_time() + SLOT_RETRY_US / SECOND)
             self._reserve_descriptors()
 
+    def _accept_caller(self, group: TaskGroup) -> bool:
+        """Accepts one caller; returns False if no descriptor is free for it yet."""
+        if not self._reserved_descriptors:
+            # Disconnects many idle callers at once: one by one, a hundred of them would take a second.
+            for scope in list(islice(self._idle_scopes, MAX_CALLERS // 2)):
+                del self._idle_scopes[scope]
+                scope.cancel()
+            return False
+        # No other task runs between closing and accepting, so the new socket gets this descriptor.
+        os.close(self._reserved_descriptors.pop())
+        try:
+            sock = self._listener.accept()[0]
+        except OSError:  # the caller has disconnected, or the system has no descriptors left
+            self._reserve_descriptors()
+            return False
+        caller = Connection(sock, MAX_CALL_BYTES)
+        self._caller_count += 1
+        group.start_soon(self._serve, caller)
+        return True
+
     async def _serve(self, caller: Connection) -> None:
         clock = self._node.clock
         call_scope = anyio.CancelScope(deadline=clock.to_deadline(clock.now_us() + CALL_TIMEOUT_US))
@@ -153,7 +160,9 @@
                     line = b"\xff"  # is rejected as not being text
             self._idle_scopes.pop(call_scope, None)
             if line is not None:
-                answer = await self._answer(line)
+                answer = failure_answer("internal error, see the log")
+                with self._node.barrier.guard("control"):
+                    answer = await self._answer(line)
                 with (
                     anyio.CancelScope(deadline=clock.to_deadline(clock.now_us() + SEND_TIMEOUT_US)),
                     contextlib.suppress(OSError),  # the caller did not wait for the answer
--- a/sailrun/discovery.py
+++ b/sailrun/discovery.py
@@ -157,6 +157,12 @@
                 kind = name_in_log(error)
                 self._record_failure(began_us, f"{kind}: {error}")
                 continue
+            except Exception as error:  # an answer that no check foresaw must not end the node
+                self._node.barrier.record("discovery")
+                self._http.drop()
+                self._fetching |= full
+                self._record_failure(began_us, repr(error))
+                continue
             self._failures = 0
             self._revision = self._accepted_revision = update.revision
             self._node.server_list_updated(update)
--- a/sailrun/front.py
+++ b/sailrun/front.py
@@ -13,6 +13,7 @@
 
 from sailrun.connection import OutOfDescriptorsError, accept
 from sailrun.node.clock import log
+from sailrun.node.fault_barrier import FaultBarrier
 
 # Connections with a request use two descriptors each and may use two thirds of all descriptors. Of the
 # remaining third, this many are reserved for the registry, the listeners, datagrams and probes.
@@ -24,6 +25,8 @@
 # `CLOSE_WITHIN_US`, which is divided into `MOVE_STEPS` equal steps for moving its sessions.
 CLOSE_WITHIN_US, MOVE_STEPS = 1_500_000, 15
 CLOSE_POLL_S = 0.02
+# After a connection could not be accepted, the next one is accepted after this time.
+ACCEPT_RETRY_S = 0.05
 
 
 class PendingConnections:
@@ -116,12 +119,14 @@
         front: str,
         make_connection: Callable[[socket.socket], AcceptedConnection],
         pending: PendingConnections,
+        barrier: FaultBarrier,
     ) -> None:
-        self._listener, self._front, self._make_connection, self._pending = (
+        self._listener, self._front, self._make_connection, self._pending, self._barrier = (
             listener,
             front,
             make_connection,
             pending,
+            barrier,
         )
         self._connections: set[AcceptedConnection] = set()
         self._accept_scope = anyio.CancelScope()
@@ -183,13 +188,25 @@
     async def _accept_connections(self, group: TaskGroup) -> None:
         while True:
             try:
-                sock = await accept(self._listener)
-                group.start_soon(self._serve, self._make_connection(sock))
+                await self._accept_connection(group)
             except OutOfDescriptorsError:
                 # New connections stay in the listener's queue until descriptors are free.
                 log("out-of-descriptors", doing="accept")
                 self._pending.evict_oldest()
-                await anyio.sleep_until(anyio.current_time() + 0.05)
+            except Exception:  # an error of one connection must not end the front
+                self._barrier.record(f"{self._front}-accept")
+            else:
+                continue
+            await anyio.sleep_until(anyio.current_time() + ACCEPT_RETRY_S)
+
+    async def _accept_connection(self, group: TaskGroup) -> None:
+        sock = await accept(self._listener)
+        try:
+            connection = self._make_connection(sock)
+        except BaseException:
+            sock.close()
+            raise
+        group.start_soon(self._serve, connection)
 
     def add_connection(self, connection: AcceptedConnection) -> None:
         """Serves a connection that another process accepted, at once or as soon as `run` starts."""
@@ -201,9 +218,7 @@
     async def _serve(self, connection: AcceptedConnection) -> None:
         self._connections.add(connection)
         try:
-            await connection.run()
-        except Exception as error:
-            log("fault", where=self._front, error=repr(error))
+            await self._barrier.run_task(self._front, connection.run)
         finally:
             self._connections.discard(connection)
 
@@ -215,5 +230,5 @@
         for step in range(MOVE_STEPS):
             moves = [move for connection in self._connections for move in connection.session_moves()]
             for move in moves[: math.ceil(len(moves) / max(1, MOVE_STEPS // 2 - step))]:
-                move()
+                self._barrier.run("move", move)
             await anyio.sleep_until(began + (step + 1) * CLOSE_WITHIN_US / MOVE_STEPS / 1e6)
--- a/sailrun/hot_restart/handover.py
+++ b/sailrun/hot_restart/handover.py
@@ -144,9 +144,10 @@
 
         If the socket for a successor cannot be created, it only runs until the predecessor has ended.
         """
+        barrier = self._node.barrier
         async with anyio.create_task_group() as group:
             if self._inherited is not None:
-                group.start_soon(self._run_as_successor, self._inherited)
+                group.start_soon(barrier.run_task, "predecessor", self._run_as_successor, self._inherited)
             try:
                 handover_listener = HandoverListener(self._name)
             except OSError as error:
@@ -160,7 +161,7 @@
                     except OSError:  # the successor disconnected and connects again, or no descriptor is free
                         await anyio.sleep_until(anyio.current_time() + 0.05)
                         continue
-                    group.start_soon(self._serve_successor, sock)
+                    group.start_soon(barrier.run_task, "successor", self._serve_successor, sock)
             finally:
                 anyio.notify_closing(handover_listener.listener)
                 handover_listener.close()
--- a/sailrun/load_gossip/aggregation_rounds.py
+++ b/sailrun/load_gossip/aggregation_rounds.py
@@ -108,27 +108,27 @@
             self._alert_until_us = now_us + ALERT_US
         datagrams: list[OutgoingDatagram] = []
         has_changed = False
+        if now_us >= self._restate_at_us:
+            self._restate_at_us = now_us + RESTATE_INTERVAL_US
+            has_changed = self._estimate.summary_round >= 0
         if self._needs_summary and now_us >= self._request_at_us:
             datagrams.append(self._request_summary(now_us, local))
         if self._sum_at_us is not None and now_us >= self._sum_at_us:
             self._sum_at_us = None
             summary = self._sum_reports(local)
             datagrams.append(OutgoingDatagram(None, self._encode(summary)))
-            has_changed = self._merge_summary(summary)
+            has_changed = self._merge_summary(summary) or has_changed
         if now_us >= self._report_at_us:
             datagrams += self._begin_round(now_us, local)
-        if now_us >= self._restate_at_us:
-            self._restate_at_us = now_us + RESTATE_INTERVAL_US
-            has_changed = has_changed or self._estimate.summary_round >= 0
         return RoundOutput(datagrams, self._fleet_load(now_us, local) if has_changed else None)
 
     def _begin_round(self, now_us: int, local: LocalLoad) -> list[OutgoingDatagram]:
         self._round = now_us // self._round_us
-        datagrams: list[OutgoingDatagram] = []
-        if now_us < self._alert_until_us or self._round % QUIET_ROUND_INTERVAL == 0:
-            datagrams = self._report(now_us, local)
+        # The next round is set first: it must follow even if an exception ends this one.
         self._report_at_us = self._next_report_us()
-        return datagrams
+        if now_us < self._alert_until_us or self._round % QUIET_ROUND_INTERVAL == 0:
+            return self._report(now_us, local)
+        return []
 
     def _report(self, now_us: int, local: LocalLoad) -> list[OutgoingDatagram]:
         report = build_report(self._round, local, now_us < self._alert_until_us)
--- a/sailrun/node/command_queue.py
+++ b/sailrun/node/command_queue.py
@@ -9,6 +9,10 @@
 Arguments = TypeVarTuple("Arguments")
 
 
+def _raise_again(_arguments: tuple[Any, ...]) -> None:
+    raise  # the exception that the caller is handling
+
+
 class CommandQueue:
     """Calls that the event loop makes in its next iteration, in the order in which they were posted."""
 
@@ -16,6 +20,9 @@
         # Handlers with their arguments; the signature of `post` makes the type checker match them.
         self._commands: deque[tuple[Callable[..., object], tuple[Any, ...]]] = deque()
         self.wake: Callable[[], None] = lambda: None  # called when the queue is no longer empty
+        # Called with the arguments of a call that raised an exception, while that exception is being handled;
+        # the next calls follow.
+        self.on_fault: Callable[[tuple[Any, ...]], None] = _raise_again
 
     def __bool__(self) -> bool:
         return bool(self._commands)
@@ -32,4 +39,7 @@
         """Makes all calls, including those that are posted meanwhile."""
         while self._commands:
             handler, arguments = self._commands.popleft()
-            handler(*arguments)
+            try:
+                handler(*arguments)
+            except Exception:
+                self.on_fault(arguments)
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 
@@ -20,9 +20,10 @@
 from sailrun.node.backend_list import BackendList
 from sailrun.node.clock import Clock, LoopTime, log
 from sailrun.node.command_queue import CommandQueue
-from sailrun.node.counters import Counters, MetricsSnapshot
+from sailrun.node.counters import Counters, InputSource, MetricsSnapshot
 from sailrun.node.decision_port import DecisionPort
 from sailrun.node.draining import ShutdownController
+from sailrun.node.fault_barrier import FaultBarrier
 from sailrun.node.fleet_load import FleetLoadExchange
 from sailrun.node.form_server_monitor import FormServerMonitors
 from sailrun.node.form_server_supervisor import FormServerSupervisor
@@ -87,33 +88,47 @@
         self.rebalancer_port = RebalancerPort(self._loop_time, log)
         self._queue, self._timers = CommandQueue(), TimerQueue()
         self._balancer = Balancer(settings, seed, self._loop_time.now_us)
-        self._decisions = DecisionPort(self._balancer, self._loop_time, log)
+        # Each step of the event loop, and each task of the surrounding code, runs behind the barrier.
+        self.barrier = FaultBarrier(self.counters, clock.now_us, log)
+        self._queue.on_fault = self._on_command_fault
+        self._rounds_suspended_until_us = 0
+        self._decisions = DecisionPort(self._balancer, self._loop_time, self.barrier)
         self._outlier_gossip = OutlierGossip(self._balancer, log)
         self._connect_parts(seed, log)
 
     def _connect_parts(self, seed: int, log: EventLog) -> None:
         """Creates the parts that call other parts, each after the parts that it calls."""
-        loop_time, decisions, plans, port = (
+        loop_time, decisions, plans, port, barrier = (
             self._loop_time,
             self._decisions,
             self.shutdown,
             self.rebalancer_port,
+            self.barrier,
         )
         self._monitors = monitors = FormServerMonitors(self.clock)
         self._backends = backends = BackendList(loop_time, decisions, port, log)
         self._shutdown_controller = shutdown = ShutdownController(loop_time, plans, monitors, port, log)
         self._successor = successor = SuccessorTransfer(backends, monitors, plans, shutdown)
         self._sessions = sessions = SessionManager(
-            loop_time, self._queue, decisions, backends, monitors, successor, port, self.counters, log
+            loop_time,
+            self._queue,
+            decisions,
+            backends,
+            monitors,
+            successor,
+            port,
+            self.counters,
+            barrier,
+            log,
         )
         connect_timeout_us = self.settings.connect_timeout_us
         decisions.connect(
             ActionDispatcher(loop_time, sessions, backends, self._timers, self, connect_timeout_us, log)
         )
         self._supervisor = FormServerSupervisor(
-            loop_time, monitors, sessions, backends, decisions, self._latency_threshold_us, log
+            loop_time, monitors, sessions, backends, decisions, self._latency_threshold_us, barrier, log
         )
-        self._drainer = SessionDrainer(loop_time, plans, monitors, sessions, SWEEP_INTERVAL_US)
+        self._drainer = SessionDrainer(loop_time, plans, monitors, sessions, SWEEP_INTERVAL_US, barrier)
         self._operator = OperatorCommands(backends, plans, shutdown, decisions, port, log)
         rounds = self._make_rounds(seed)
         self._fleet_load = FleetLoadExchange(rounds, loop_time, self._balancer, decisions, plans, self)
@@ -168,29 +183,49 @@
     def due_us(self) -> int:
         """Returns when the next iteration is due even if no command is posted, in Unix microseconds."""
         due_us = self._timers.due_us()
+        round_us = self._fleet_load.due_us() or self._sweep_us
         return min(
             self._sweep_us,
-            self._fleet_load.due_us() or self._sweep_us,
+            max(round_us, self._rounds_suspended_until_us),
             due_us if due_us is not None else self._sweep_us,
         )
 
     def run_once(self, now_us: int) -> None:
-        """Runs one iteration: executes all posted commands and everything that is due."""
+        """Runs one iteration: executes all posted commands and everything that is due.
+
+        An exception ends only the step that raised it. `DecisionPort.feed` confines those of timers.
+        """
         self._loop_time.now_us = now_us
         self._queue.run()
         while (token := self._timers.pop_due(now_us)) is not None:
             self._decisions.feed(TimerFired(token))
-        self._fleet_load.run_round_if_due()
+        if now_us >= self._rounds_suspended_until_us:
+            self._run_round_if_due()
         if now_us >= self._sweep_us:
             self._sweep_us = now_us + SWEEP_INTERVAL_US
             self._sweep()
 
+    def _run_round_if_due(self) -> None:
+        if not self.barrier.run("round", self._fleet_load.run_round_if_due):
+            # A round that failed may still be due: without a pause the loop would never wait again.
+            self._rounds_suspended_until_us = self._loop_time.now_us + SWEEP_INTERVAL_US
+
     def _sweep(self) -> None:
-        self._supervisor.sweep()
-        self.rebalancer_port.run(self._balancer, self._sessions.move, self)
-        self._status.log_if_due()
+        self.barrier.run("monitors", self._supervisor.sweep)
+        self.barrier.run("rebalance", self.rebalancer_port.run, self._balancer, self._sessions.move, self)
+        self.barrier.run("status", self._status.log_if_due)
         if self.shutdown:
-            self.stopped = self._drainer.run_step()
+            self.barrier.run("drain", self._run_drain_step)
+
+    def _run_drain_step(self) -> None:
+        self.stopped = self._drainer.run_step()
+
+    def _on_command_fault(self, arguments: tuple[Any, ...]) -> None:
+        """Confines the exception of a command to the session that it concerns."""
+        self.barrier.record("command")
+        for session in arguments:
+            if isinstance(session, FormSession):
+                self.barrier.run("abandon", self._sessions.abandon_session, session)
 
     # ------------------------------------------------------------------ calls of the fronts
 
@@ -276,6 +311,10 @@
         """
         self._queue.post(self._shutdown_controller.begin, ShutdownReason.RESTART)
 
+    def input_rejected(self, source: InputSource) -> None:
+        """Input was not valid or out of range; whoever received it has answered or ignored it."""
+        self.counters.rejected_inputs[source] += 1
+
     def configuration_reloaded(self, is_usable: bool) -> None:
         """A new configuration was applied, or was not usable."""
         self._queue.post(self.counters.on_configuration_reloaded, is_usable)
--- a/sailrun/node/counters.py
+++ b/sailrun/node/counters.py
@@ -5,10 +5,19 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import Enum
 
 from sailrun.decisions.actions import MoveReason
 
 
+class InputSource(Enum):
+    """Where input came from that was rejected because it is not valid or out of range."""
+
+    CLIENT = "client"
+    FORM_SERVER = "form-server"
+    REGISTRY = "registry"
+
+
 class ClassCounters:
     """The final answers to the requests of one class: established, rejected and failed."""
 
@@ -31,6 +40,8 @@
     hosts_down: int  # listed form servers that are avoided: excluded by an operator or ejected as outliers
     reconfig_ok: int  # configurations that were applied at SIGHUP
     reconfig_failed: int  # configurations that were not usable
+    faults: int  # unforeseen exceptions, each confined to one step
+    rejected_inputs: dict[str, int]  # by the name of each input source
 
 
 class Counters:
@@ -43,6 +54,8 @@
         self.backend_calls = 0
         self.reconfig_ok = 0
         self.reconfig_failed = 0
+        self.faults = Counter[str]()  # by the step that raised an unforeseen exception
+        self.rejected_inputs = Counter[InputSource]()
 
     def on_request_written(self) -> None:
         """Counts an attempt whose request has been written completely to its form server."""
@@ -65,4 +78,6 @@
             hosts_down,
             self.reconfig_ok,
             self.reconfig_failed,
+            self.faults.total(),
+            {source.value: self.rejected_inputs[source] for source in InputSource},
         )
--- a/sailrun/node/decision_port.py
+++ b/sailrun/node/decision_port.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import traceback
 from typing import Protocol
 
-from sailrun.decisions.actions import Action
+from sailrun.decisions.actions import Action, CancelAttempt, FailRequest, RejectRequest, StartAttempt
 from sailrun.decisions.balancer import Balancer
 from sailrun.decisions.events import (
     AttemptEnded,
@@ -17,7 +16,7 @@
     RequestArrived,
 )
 from sailrun.node.clock import LoopTime
-from sailrun.node.ports import EventLog
+from sailrun.node.fault_barrier import FaultBarrier
 
 # Events that belong to one request, whose id is in their field `request`.
 REQUEST_EVENTS = (
@@ -28,6 +27,8 @@
     AttemptNotice,
     AttemptEnded,
 )
+# Actions that belong to one request, likewise.
+REQUEST_ACTIONS = (StartAttempt, RejectRequest, FailRequest, CancelAttempt)
 
 
 class ActionExecutor(Protocol):
@@ -47,8 +48,8 @@
 
     _executor: ActionExecutor
 
-    def __init__(self, balancer: Balancer, loop_time: LoopTime, log: EventLog) -> None:
-        self._balancer, self._loop_time, self._log = balancer, loop_time, log
+    def __init__(self, balancer: Balancer, loop_time: LoopTime, barrier: FaultBarrier) -> None:
+        self._balancer, self._loop_time, self._barrier = balancer, loop_time, barrier
 
     def connect(self, executor: ActionExecutor) -> None:
         """Sets the executor of the actions; called once, before the first event."""
@@ -60,13 +61,16 @@
             actions = self._balancer.handle(self._loop_time.now_us, event)
         except Exception:
             # A fault in the decision module must not end the node and the sessions of all its clients.
-            self._log("fault", event=type(event).__name__, trace=traceback.format_exc())
+            self._barrier.record("decision", event=type(event).__name__)
             if isinstance(event, REQUEST_EVENTS):
-                self._executor.abandon_request(event.request)
+                self._barrier.run("abandon", self._executor.abandon_request, event.request)
             return
         for action in actions:
             try:
                 self._executor.execute(action)
             except Exception:
-                # A fault of one front while executing an action must not end the node either.
-                self._log("fault", action=type(action).__name__, trace=traceback.format_exc())
+                # A fault of one front while executing an action must not end the node either. The request
+                # would wait for the action's effect without an end, so it gets its final answer.
+                self._barrier.record("action", action=type(action).__name__)
+                if isinstance(action, REQUEST_ACTIONS):
+                    self._barrier.run("abandon", self._executor.abandon_request, action.request)
--- a/sailrun/node/form_server_supervisor.py
+++ b/sailrun/node/form_server_supervisor.py
@@ -7,6 +7,7 @@
 from sailrun.node.backend_list import BackendList
 from sailrun.node.clock import LoopTime
 from sailrun.node.decision_port import DecisionPort
+from sailrun.node.fault_barrier import FaultBarrier
 from sailrun.node.form_server_monitor import FormServerMonitor, FormServerMonitors
 from sailrun.node.ports import EventLog
 from sailrun.node.session import FormSession
@@ -24,20 +25,24 @@
         backends: BackendList,
         decisions: DecisionPort,
         latency_threshold_us: float,
+        barrier: FaultBarrier,
         log: EventLog,
     ) -> None:
         """`latency_threshold_us`: latencies over this are reported to the decision module; 0: none are."""
         self._loop_time, self._monitors, self._sessions = loop_time, monitors, sessions
         self._backends, self._decisions, self._log = backends, decisions, log
-        self._latency_threshold_us = latency_threshold_us
+        self._latency_threshold_us, self._barrier = latency_threshold_us, barrier
 
     def sweep(self) -> None:
         """Checks the active monitors, and deactivates those that are idle."""
         for number, monitor in self._monitors.list_active():
-            self._end_unresponsive_sessions(number, monitor)
-            self._report_latency(number, monitor)
-            if monitor.is_idle():
-                self._monitors.deactivate(number)
+            self._barrier.run("monitor", self._check, number, monitor)
+
+    def _check(self, number: int, monitor: FormServerMonitor) -> None:
+        self._end_unresponsive_sessions(number, monitor)
+        self._report_latency(number, monitor)
+        if monitor.is_idle():
+            self._monitors.deactivate(number)
 
     def _end_unresponsive_sessions(self, number: int, monitor: FormServerMonitor) -> None:
         unresponsive = monitor.find_unresponsive_sessions(self._loop_time.now_us)
--- a/sailrun/node/session_drainer.py
+++ b/sailrun/node/session_drainer.py
@@ -4,6 +4,7 @@
 
 from sailrun.decisions.actions import MoveReason
 from sailrun.node.clock import LoopTime
+from sailrun.node.fault_barrier import FaultBarrier
 from sailrun.node.form_server_monitor import FormServerMonitors
 from sailrun.node.sessions import SessionManager
 from sailrun.node.shutdown import ShutdownPlans
@@ -19,10 +20,11 @@
         monitors: FormServerMonitors,
         sessions: SessionManager,
         step_us: int,
+        barrier: FaultBarrier,
     ) -> None:
         """`step_us`: the time between two steps."""
         self._loop_time, self._plans, self._monitors, self._sessions = loop_time, plans, monitors, sessions
-        self._step_us = step_us
+        self._step_us, self._barrier = step_us, barrier
 
     def run_step(self) -> bool:
         """Does one step; returns whether the process may exit.
@@ -36,5 +38,5 @@
         pending = self._sessions.list_pending()
         if self._plans.must_answer_pending(now_us):
             for session in pending:
-                self._sessions.deny_for_shutdown(session)
+                self._barrier.run("deny", self._sessions.deny_for_shutdown, session)
         return self._plans.may_exit(now_us, self._monitors.count_sessions(), len(pending))
--- a/sailrun/node/sessions.py
+++ b/sailrun/node/sessions.py
@@ -21,6 +21,7 @@
 from sailrun.node.command_queue import CommandQueue
 from sailrun.node.counters import Counters
 from sailrun.node.decision_port import DecisionPort
+from sailrun.node.fault_barrier import FaultBarrier
 from sailrun.node.form_server_monitor import FormServerMonitors
 from sailrun.node.ports import EventLog
 from sailrun.node.rebalancer_port import RebalancerPort
@@ -48,11 +49,12 @@
         successor: SuccessorTransfer,
         rebalancer: RebalancerPort,
         counters: Counters,
+        barrier: FaultBarrier,
         log: EventLog,
     ) -> None:
         self._loop_time, self._queue, self._decisions, self._backends = loop_time, queue, decisions, backends
         self._monitors, self._successor, self._rebalancer = monitors, successor, rebalancer
-        self._counters, self._log = counters, log
+        self._counters, self._barrier, self._log = counters, barrier, log
         self._sessions: dict[str, FormSession] = {}
 
     def __len__(self) -> int:
@@ -260,7 +262,7 @@
         """Asks the client of an established session to reconnect elsewhere, and counts the move."""
         session.move_reason = reason
         self._counters.moves[reason] += 1
-        session.client.move()
+        self._barrier.run("move", session.client.move)
 
     # ------------------------------------------------------------------ final answers
 
@@ -282,9 +284,18 @@
     def abandon_request(self, request: str) -> None:
         """Fails a request after an error in handling one of its events, unless its session is established."""
         session = self._sessions.get(request)
-        if session is not None and not session.is_established:
-            self._end(session)
-            self._fail(session)
+        if session is not None:
+            self.abandon_session(session)
+
+    def abandon_session(self, session: FormSession) -> None:
+        """Ends a session after an error in handling one of its commands: a request that waits for its answer
+        fails. An established session continues, because its lines do not pass through the node's loop.
+        """
+        if session.is_established or session.is_answered:
+            return
+        self._end(session)
+        self._decisions.feed(ClientLeft(session.id))
+        self._fail(session)
 
     def deny_for_shutdown(self, session: FormSession) -> None:
         """Gives a pending request its final answer because a shutdown plan requires it."""
--- a/sailrun/serve.py
+++ b/sailrun/serve.py
@@ -249,7 +249,7 @@
         if self._config.settings.probes:
             self.node.health_checker = PingHealthChecker(self.node, group)
         if self._peer_transport is not None:
-            group.start_soon(self._peer_transport.run)
+            group.start_soon(self.node.barrier.keep_running, "peers", self._peer_transport.run)
         if self._fleet is not None:
             group.start_soon(self._fleet.run)
         else:
@@ -387,7 +387,7 @@
                 else:
                     self.node.begin_shutdown()
                     if self._fleet is not None:
-                        self._fleet.leave()
+                        self.node.barrier.run("leave", self._fleet.leave)
 
 
 async def serve(read_config: Callable[[], NodeConfig]) -> None:
--- a/sailrun/text_protocol/clients.py
+++ b/sailrun/text_protocol/clients.py
@@ -73,7 +73,7 @@
         def make_connection(sock: socket.socket) -> ClientConnection:
             return ClientConnection(self, Connection(sock))
 
-        return FrontAcceptor(listener, "household", make_connection, self.waiting)
+        return FrontAcceptor(listener, "household", make_connection, self.waiting, self.node.barrier)
 
 
 class ClientConnection:
--- a/sailrun/text_protocol/peers.py
+++ b/sailrun/text_protocol/peers.py
@@ -86,6 +86,7 @@
             try:
                 content, sender = self.socket.recvfrom(MAX_DATAGRAM_BYTES + 1)
             except OSError:
+                await anyio.sleep(0)  # an error that persists must not keep the other tasks from running
                 continue
             if sender in self._peers:
                 self._node.peer_message_received(self._peers.index(sender), content)
@@ -114,7 +115,9 @@
                     if line is not None and line.strip() == b"PONG"
                     else AttemptOutcome.ERROR
                 )
-        except (OSError, ValueError):
+        except Exception as error:  # an error of one health check must not end the node
+            if not isinstance(error, OSError | ValueError):
+                self._node.barrier.record("probe")
             outcome = AttemptOutcome.RESET if connection is not None else AttemptOutcome.CONNECT_FAILED
         finally:
             if connection is not None:
--- a/sailrun/xds/discovery.py
+++ b/sailrun/xds/discovery.py
@@ -14,6 +14,7 @@
 from sailrun.http_calls import CallFailedError, HttpCalls
 from sailrun.node.clock import log
 from sailrun.node.core import Node
+from sailrun.node.counters import InputSource
 from sailrun.node.session import FormServer, ServerListUpdate
 from sailrun.xds.mapping import (
     CLUSTER,
@@ -73,6 +74,9 @@
                 await self._poll()
             except (OSError, CallFailedError) as error:
                 self._report_unreachable(error)
+            except Exception as error:  # an update that no check foresaw must not end the node
+                self._node.barrier.record("discovery")
+                self._report_unreachable(error)
             clock = self._node.clock
             await anyio.sleep_until(clock.to_deadline(clock.now_us() + POLL_INTERVAL_US))
 
@@ -83,6 +87,7 @@
         self._log_rejection("source", str(error) or name_in_log(error))
 
     def _log_rejection(self, source: str, reason: str) -> None:
+        self._node.input_rejected(InputSource.REGISTRY)
         if self._rejected.get(source) != reason:
             self._rejected[source] = reason
             log("xds-rejected", update=source, why=reason)
