Bound each number and text from outside where it is read, with the protocol's own error

Cause, second half: any finite load was accepted from a client's first line and from LOAD lines. Two of them add up to infinity, which stays when the sessions have ended, and whose logarithm the next load report cannot round.

Change: a connection's load is a number from 0 to 1e9 us of work a second, else `ERR` to the client; a form server's line is forwarded but its load is not used. What is rejected is counted in `vars` as `rejected_inputs` and logged. The encoding of load reports saturates for any number.

--- a/sailrun/config.py
+++ b/sailrun/config.py
@@ -163,7 +163,7 @@
         document = json.loads(path.read_text())
     except (OSError, UnicodeDecodeError) as error:
         raise ConfigError(path, "", getattr(error, "strerror", None) or str(error)) from None
-    except (json.JSONDecodeError, RecursionError) as error:
+    except (ValueError, RecursionError) as error:  # also for an integer with thousands of digits
         raise ConfigError(path, "", f"not valid JSON: {error}") from None
     if not isinstance(document, dict):
         raise ConfigError(path, "", "expected a JSON object")
@@ -213,7 +213,7 @@
 def _read_settings(document: _Document) -> Settings:
     try:
         return read_settings(document.require("settings"))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise document.config_error("settings", str(error)) from None
 
 
--- a/sailrun/decisions/events.py
+++ b/sailrun/decisions/events.py
@@ -10,6 +10,10 @@
 from dataclasses import dataclass, fields
 from enum import Enum
 
+# The largest load of one connection, in microseconds of work per second: a thousand cores. Sums of loads stay
+# finite.
+MAX_LOAD_US_PER_S = 1e9
+
 
 class BackendState(Enum):
     """The state of a backend in the backend list. The values are those of the simulator's protocol."""
--- a/sailrun/decisions/load_accounting.py
+++ b/sailrun/decisions/load_accounting.py
@@ -9,7 +9,7 @@
 
 from sailrun.decisions.context import DecisionContext
 from sailrun.decisions.endpoints import ClientRequest, Endpoint
-from sailrun.decisions.events import BackendState, FleetLoad
+from sailrun.decisions.events import MAX_LOAD_US_PER_S, BackendState, FleetLoad
 
 # A class's mean load is averaged over about this many of its latest reports.
 CLASS_REPORTS = 200
@@ -103,7 +103,11 @@
             request.load = self.class_load.get(request.request_class.name, default)[0]
 
     def report(self, request: ClientRequest, load: float) -> None:
-        """Records a connection's load as stated by a hint or reported by its backend."""
+        """Records a connection's load as stated by a hint or reported by its backend.
+
+        Callers check what they receive. The limit here keeps all sums finite, whatever a caller passes on.
+        """
+        load = min(load, MAX_LOAD_US_PER_S)
         if not self.class_load:
             self.convert_to_reported_loads(load)
         name = request.request_class.name
--- a/sailrun/decisions/validation.py
+++ b/sailrun/decisions/validation.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import fields
 from enum import Enum
 
@@ -19,6 +18,10 @@
     "connect_timeout_us",
     "tick_us",
 }
+# The largest value of a setting, in its own unit; sums of times stay within 63 bits, and quotients finite.
+_MAX_NUMBER = 10**15
+# Stricter limits for numbers that determine how much memory or how many requests are used.
+_LIMITS = {"instances": 65_536, "overload_multiple": 10**6}
 # Names that operators use for settings whose fields are named differently; error messages contain these.
 OPERATOR_NAMES = {
     "initial_capacity_share": "cold_from",
@@ -34,7 +37,7 @@
 
 
 def _invalid_setting(where: str, value: object, expected: str) -> ValueError:
-    return ValueError(f"setting {where} is {value!r}; expected {expected}")
+    return ValueError(f"setting {where} is {value!r:.100}; expected {expected}")
 
 
 def _check(where: str, name: str, declared: str, value: object) -> None:
@@ -42,8 +45,10 @@
         accepted_types = (int,) if declared == "int" else (int, float)
         if isinstance(value, bool) or not isinstance(value, accepted_types):
             raise _invalid_setting(where, value, "a whole number" if declared == "int" else "a number")
-        if not math.isfinite(value) or value < 0 or (name in _POSITIVE and value == 0):
-            raise _invalid_setting(where, value, "a number above 0" if name in _POSITIVE else "0 or more")
+        limit = _LIMITS.get(name, _MAX_NUMBER)
+        if not 0 <= value <= limit or (name in _POSITIVE and value == 0):
+            lowest = "a number above 0" if name in _POSITIVE else "0 or more"
+            raise _invalid_setting(where, value, f"{lowest}, up to {limit}")
         if name in _SHARES and value > 1:
             raise _invalid_setting(where, value, "a share from 0 to 1")
         if name == "initial_capacity_share" and not 0 < value <= 1:
--- a/sailrun/discovery.py
+++ b/sailrun/discovery.py
@@ -15,6 +15,7 @@
 from sailrun.errors import SailrunError, name_in_log
 from sailrun.http_calls import CallFailedError, HttpCalls
 from sailrun.node.core import Node
+from sailrun.node.counters import InputSource
 from sailrun.node.session import FormServer, ServerListUpdate
 
 SECOND = 1_000_000
@@ -32,6 +33,14 @@
 # agent's data counts as announced at once.
 CALL_SPACING_US = SECOND // 10
 
+# The largest number in a list, in the unit of its field. Every floating-point number up to it is exact, and
+# start times stay below 2 ** 63 microseconds.
+MAX_NUMBER = 2**53
+# The length of an id, a zone or an address, in characters.
+MAX_TEXT_LENGTH = 128
+# The range of stated sizes; within it their sums and quotients stay finite.
+MIN_SIZE, MAX_SIZE = 1e-6, 1e6
+
 _STATES = {
     "SERVING": BackendState.READY,
     "DRAINING": BackendState.DRAINING,
@@ -53,18 +62,38 @@
 def _get(entry: dict[str, Any], name: str, *types: type) -> Any:
     value = entry.get(name)
     if not isinstance(value, types) or (isinstance(value, bool) and bool not in types):
-        raise InvalidServerListError(f"'{name}' is {value!r}: missing or of the wrong type")
-    if isinstance(value, float) and not math.isfinite(value):
-        raise InvalidServerListError(f"'{name}' is {value!r}, expected a finite number")
+        raise InvalidServerListError(f"'{name}' is {value!r:.100}: missing or of the wrong type")
+    if isinstance(value, str):
+        _check_text(name, value)
+    elif isinstance(value, int | float) and not -MAX_NUMBER <= value <= MAX_NUMBER:
+        raise InvalidServerListError(f"'{name}' is {value!r:.50}, expected a number of at most 2 ** 53")
     return value
 
 
+def _check_text(name: str, value: str) -> None:
+    """Raises InvalidServerListError for a text that could not be hashed or written to one line of the log."""
+    if len(value) > MAX_TEXT_LENGTH or not value.isprintable():
+        raise InvalidServerListError(
+            f"'{name}' is {value[:MAX_TEXT_LENGTH]!a}, expected up to {MAX_TEXT_LENGTH} printable characters"
+        )
+
+
+def _size(entry: dict[str, Any]) -> float:
+    """Returns the size of an entry; 0 or a negative size means that it is not stated."""
+    size = float(_get({"size": 1.0, **entry}, "size", int, float))
+    if size > 0 and not MIN_SIZE <= size <= MAX_SIZE:
+        raise InvalidServerListError(
+            f"'size' is {size!r}, expected a number from {MIN_SIZE:g} to {MAX_SIZE:g}"
+        )
+    return size
+
+
 def _form_server(entry: Any) -> FormServer:
     if not isinstance(entry, dict):
-        raise InvalidServerListError(f"an entry of 'members' is {entry!r}, expected an object")
+        raise InvalidServerListError(f"an entry of 'members' is {entry!r:.100}, expected an object")
     phase = _get(entry, "phase", str)
     if phase not in _STATES:
-        raise InvalidServerListError(f"'phase' is {phase!r}, expected SERVING, DRAINING or DELETED")
+        raise InvalidServerListError(f"'phase' is {phase!a}, expected SERVING, DRAINING or DELETED")
     try:
         address = split_address(_get(entry, "host_port", str))
     except ValueError as error:
@@ -75,7 +104,7 @@
         state=_STATES[phase],
         zone=_get(entry, "locality", str),
         cell=_get({"cell": 0, **entry}, "cell", int),
-        size=float(_get({"size": 1.0, **entry}, "size", int, float)),
+        size=_size(entry),
         started_us=_get({"up_since_ms": 0, **entry}, "up_since_ms", int) * 1000,
     )
 
@@ -153,6 +182,8 @@
                     return
                 update = self._check_revision(received)
             except (CallFailedError, InvalidServerListError) as error:
+                if isinstance(error, InvalidServerListError):
+                    self._node.input_rejected(InputSource.REGISTRY)
                 self._fetching |= full
                 kind = name_in_log(error)
                 self._record_failure(began_us, f"{kind}: {error}")
@@ -178,9 +209,10 @@
             deadline_us = began_us + wait_us + WATCH_GRACE_US
         body = await self._http.call("GET", path, b"", deadline_us)
         try:
-            return read_server_list(json.loads(body))
-        except (UnicodeDecodeError, json.JSONDecodeError, RecursionError) as error:
+            document = json.loads(body)
+        except (ValueError, RecursionError) as error:  # also for an integer with thousands of digits
             raise InvalidServerListError(f"the answer is not valid JSON: {error}") from None
+        return read_server_list(document)
 
     def _check_revision(self, update: ServerListUpdate) -> ServerListUpdate:
         """Rejects an answer older than the accepted one, which would undo later changes. A registry that has
--- a/sailrun/hot_restart/state.py
+++ b/sailrun/hot_restart/state.py
@@ -20,6 +20,7 @@
     SetupRateSnapshot,
     StateSnapshot,
 )
+from sailrun.decisions.load_range import check_load
 from sailrun.discovery import InvalidServerListError, phase_of, read_server_list
 from sailrun.errors import SailrunError
 from sailrun.node.restart_state import NodeSnapshot, ProcessLoad
@@ -110,8 +111,7 @@
         backends = tuple(_read_backend_snapshot(values) for values in content["learned"])
         setup_rate_values = tuple(_check_finite(value) for value in content["pace"])
         class_load = {
-            str(k): (_check_finite(mean), int(reports))
-            for k, (mean, reports) in content["class_load"].items()
+            str(k): (check_load(mean), int(reports)) for k, (mean, reports) in content["class_load"].items()
         }
     except InvalidServerListError as error:
         raise InvalidHandoverError(f"invalid roster: {error}") from None
--- a/sailrun/load_gossip/datagram.py
+++ b/sailrun/load_gossip/datagram.py
@@ -83,7 +83,7 @@
 
     def encode_header(self, backend_count: int) -> bytes:
         """Encodes the fixed-size part of the datagram."""
-        connections = min(self.connections, MAX_CONNECTIONS)
+        connections = max(0, min(self.connections, MAX_CONNECTIONS))
         round_number = self.round_number & ROUND_MASK
         return _HEADER.pack(FORMAT_VERSION, self._flags(), backend_count, connections, round_number)
 
@@ -144,8 +144,13 @@
 
 
 def _load_to_step(load: float, loads_reported: bool) -> int:
+    """Returns the step that is closest to the load; the last one for all loads above the scale, however
+    large, and 0 for a value that is not a number.
+    """
     first = FIRST_LOAD_STEP[loads_reported]
-    if load < first / 2:
+    if load >= _step_to_load(MAX_LOAD_STEP, loads_reported):
+        return MAX_LOAD_STEP
+    if not load >= first / 2:
         return 0
     return max(1, min(MAX_LOAD_STEP, 1 + round(math.log(load / first, LOAD_STEP_RATIO))))
 
--- a/sailrun/storage/decision_snapshot.py
+++ b/sailrun/storage/decision_snapshot.py
@@ -15,6 +15,7 @@
 
 from sailrun.decisions.events import (
     BACKEND_SNAPSHOT_FIELDS,
+    MAX_LOAD_US_PER_S,
     SETUP_RATE_FIELDS,
     BackendSnapshot,
     SetupRateSnapshot,
@@ -111,7 +112,11 @@
 def _age_class_load(class_load: dict[str, tuple[float, int]], weight: float) -> dict[str, tuple[float, int]]:
     """Ages the load by request class: the mean reported load and the number of reports behind it."""
     aged = {name: (mean, math.floor(count * weight)) for name, (mean, count) in class_load.items()}
-    return {name: (mean, count) for name, (mean, count) in aged.items() if count > 0 and math.isfinite(mean)}
+    return {
+        name: (mean, count)
+        for name, (mean, count) in aged.items()
+        if count > 0 and 0 <= mean <= MAX_LOAD_US_PER_S
+    }
 
 
 def _restore_backend(values: BackendValues) -> BackendSnapshot | None:
--- a/sailrun/text_protocol/clients.py
+++ b/sailrun/text_protocol/clients.py
@@ -13,9 +13,11 @@
 
 from sailrun.connection import Connection, OutOfDescriptorsError, OverlongLineError, connect
 from sailrun.decisions.events import AttemptOutcome, BackendState
+from sailrun.decisions.load_range import LoadOutOfRangeError, check_load
 from sailrun.front import FrontAcceptor, PendingConnections
 from sailrun.node.clock import log
 from sailrun.node.core import Node
+from sailrun.node.counters import InputSource
 from sailrun.node.session import FormServer, FormSession, Placement
 from sailrun.node.session_transfer import SendTransfer, SessionTransfer
 from sailrun.text_protocol.lines import (
@@ -62,11 +64,19 @@
         self.load_classifiers: dict[str, LoadLineClassifier[ClientConnection]] = {}
         # The ids in use. A second connection with the same id would duplicate that request.
         self.ids_in_use: set[str] = set()
+        self._servers_with_rejected_load: set[str | None] = set()
 
     def adopt(self, content: Any, sockets: Sequence[socket.socket]) -> ClientConnection:
         """Adopts a session that a predecessor transfers; raises ValueError if the content is not valid."""
         return ClientConnection.from_transfer(self, content, sockets)
 
+    def report_rejected_load(self, server_name: str | None, error: LoadOutOfRangeError) -> None:
+        """Counts a LOAD line that cannot be used, and logs the first one of each form server."""
+        self.node.input_rejected(InputSource.FORM_SERVER)
+        if server_name not in self._servers_with_rejected_load:
+            self._servers_with_rejected_load.add(server_name)
+            log("load-rejected", server=server_name, why=f"the load {error}")
+
     def create_acceptor(self, listener: socket.socket) -> FrontAcceptor:
         """Creates the acceptor of clients of the text protocol."""
 
@@ -122,13 +132,13 @@
                 FormServer(str(content["server"]), ("", 0), BackendState.GONE), int(content["attempt"]), 0
             )
             unanswered = [int(sent_us) for sent_us in content["unanswered"]]
-            load = None if content["load"] is None else float(content["load"])
+            load = None if content["load"] is None else check_load(content["load"])
             client_buffer, server_buffer = (
                 content["held"].encode("latin-1"),
                 content["half_said"].encode("latin-1"),
             )
             id_ = str(content["id"])
-        except (KeyError, TypeError, AttributeError, UnicodeError) as error:
+        except (KeyError, TypeError, AttributeError, UnicodeError, OverflowError) as error:
             raise ValueError(f"invalid content of a transferred session: {error!r}") from None
         if request.id in front.ids_in_use:
             raise ValueError("the id of the transferred session is already in use")
@@ -282,6 +292,7 @@
         try:
             request = self._request = parse_open_request(line, self._front.classes)
         except InvalidLineError as error:
+            self._node.input_rejected(InputSource.CLIENT)
             await self._reject_input(f"bad-first-line:{error}")
             return False
         if request.id in self._front.ids_in_use:
@@ -625,13 +636,23 @@
         self._node.bytes_received(self._session)
         while (line := server.take_line()) is not None:
             ending = END_OUTCOMES.get(first_word(line), AttemptOutcome.RESET)
-            load = parse_load(line)
+            load = self._read_load(line)
             if load is not None:
                 self._report_load_line(load)
             elif ending is AttemptOutcome.RESET:
                 self._node.line_answered(self._session)
         return ending
 
+    def _read_load(self, line: bytes) -> float | None:
+        """Returns the value of a LOAD line. None for another line, or if the value cannot be used: the client
+        gets the line all the same, and the load last reported stays in force.
+        """
+        try:
+            return parse_load(line)
+        except LoadOutOfRangeError as error:
+            self._front.report_rejected_load(self._server_name, error)
+            return None
+
     def _report_load_line(self, value: float) -> None:
         """Reports the value of a LOAD line to the node, as a load or a delay."""
         assert self._session is not None and self._server_name is not None
--- a/sailrun/text_protocol/lines.py
+++ b/sailrun/text_protocol/lines.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import math
 import re
 from collections.abc import Container
 from dataclasses import dataclass
 
 from sailrun.decisions.events import AttemptOutcome
+from sailrun.decisions.load_range import LoadOutOfRangeError, parse_load_value
 from sailrun.errors import SailrunError
 
 _WORD = re.compile(r"[\x21-\x7e]{1,128}")
@@ -65,14 +65,6 @@
     # state any time, which is reduced to the maximum below.
     if not wait.isdigit() or len(wait) > 12 or not (0 < int(wait) <= MAX_WAIT_MS or fields.get("at")):
         raise InvalidLineError("'d' is missing or not a whole number of milliseconds from 1 to 600000")
-    hint = None
-    if "h" in fields:
-        try:
-            hint = float(fields["h"])
-        except ValueError:
-            hint = math.nan
-        if not math.isfinite(hint) or hint < 0:
-            raise InvalidLineError("'h' is not a finite number of at least 0")
     return OpenRequest(
         line,
         words[1],
@@ -83,10 +75,17 @@
         fields.get("r") == "1",
         fields.get("again") == "1",
         fields.get("at"),
-        hint,
+        _parse_load_hint(fields.get("h")),
     )
 
 
+def _parse_load_hint(text: str | None) -> float | None:
+    try:
+        return None if text is None else parse_load_value(text)
+    except LoadOutOfRangeError as error:
+        raise InvalidLineError(f"'h' {error}") from None
+
+
 def first_word(line: bytes) -> bytes:
     """Returns the first word of a line; empty for a blank line."""
     return line.split(None, 1)[0] if line.strip() else b""
@@ -99,12 +98,10 @@
 
 
 def parse_load(line: bytes) -> float | None:
-    """Returns the value of a LOAD line; None for any other line."""
+    """Returns the value of a LOAD line; None for any other line. Raises LoadOutOfRangeError for a LOAD line
+    whose value cannot be used.
+    """
     words = line.split()
     if len(words) != 2 or words[0] != b"LOAD":
         return None
-    try:
-        load = float(words[1])
-    except ValueError:
-        return None
-    return load if math.isfinite(load) and load >= 0 else None
+    return parse_load_value(words[1])
--- a/sailrun/xds/mapping.py
+++ b/sailrun/xds/mapping.py
@@ -54,7 +54,7 @@
         if not isinstance(document, dict):
             raise InvalidUpdateError("no DiscoveryResponse: no object")
         json_format.ParseDict(document, response)
-    except (json_format.ParseError, json.JSONDecodeError, UnicodeDecodeError, RecursionError) as error:
+    except (json_format.ParseError, ValueError, RecursionError) as error:
         raise InvalidUpdateError(f"no DiscoveryResponse: {' '.join(str(error).split())}") from None
     if response.type_url and response.type_url != type_url:
         raise InvalidUpdateError(f"type_url is '{response.type_url}', not '{type_url}'")
