Confine a fault of the storage folder or the handover to its own task

Both tasks run in the group of the whole node without a guard of their own; an exception ended the process. They now run behind FaultBarrier like the other tasks; the node serves on without them.

--- a/sailrun/serve.py
+++ b/sailrun/serve.py
@@ -266,7 +266,7 @@
                 self._inherited,
                 self._adopt,
             )
-            group.start_soon(handover.run)
+            group.start_soon(self.node.barrier.run_task, "handover", handover.run)
 
     def _write_without_fleet(self) -> None:
         """Starts to write the state of the form servers to the storage folder of a node without a fleet, if
@@ -274,7 +274,8 @@
         """
         if self._storage is not None:
             self._writing_scope = anyio.CancelScope()
-            self.group.start_soon(self._storage.run_without_fleet, self.node, self._writing_scope)
+            run = self._storage.run_without_fleet
+            self.group.start_soon(self.node.barrier.run_task, "storage", run, self.node, self._writing_scope)
 
     async def _run_discovery(self) -> None:
         discovery, scope = self._discovery, self._discovery_scope
