Do not take live weights for capacities in slow start, placement and rebalancing

Cause: the list's weight was the capacity on every node, whatever `weightSource` says; the setting was read and used nowhere. A live weight is the capacity divided by 1 and the requests per core, so a form server without requests had 18 times the weight of its equals with 69 sessions each. The trace that `slow-start-send` now writes (weight, capacity, fills) shows each of the three nodes at an estimate of 254 to 405 sessions that fill it, where 88 do, and at an allowance of 25 to 29 requests in a window.

Change: `Settings.weight_source` says what a weight means, and WeightSource.capacity is the one place where a weight becomes a capacity: a live one states none, so backends count as equal. The same cause is removed from the fair share and the bound of placement, the load limit, and the shares and acceptable loads of the rebalancer, which all read the same field. An unknown `weightSource` is one plain error. For the other sources nothing changes.

--- a/benchmarks/mixed_settings.py
+++ b/benchmarks/mixed_settings.py
@@ -112,7 +112,7 @@
     settings = copy.deepcopy(SETTINGS)
     for name, table in OPTIONAL_SETTINGS.items():
         settings[name] |= table
-    settings |= {"overShareWorth": 0.5, "weightSource": "told", "orgs": TENANTS}
+    settings |= {"overShareWorth": 0.5, "weightSource": "nominal", "orgs": TENANTS}
     settings["services"][0] |= CLASS_KEYS
     document = {
         "name": "answers",
--- a/sailrun/decisions/actions.py
+++ b/sailrun/decisions/actions.py
@@ -47,6 +47,9 @@
     share: float  # share of its capacity that the backend has at least, 0 to 1
     sent: int  # requests sent by this instance within the last `overload_window_us`, including this one
     part: float  # this instance's allowance for `overload_window_us`, in requests
+    weight: float  # as last stated by the backend list
+    capacity: float  # the backend's capacity relative to the others', as this instance takes it from the list
+    connections: float  # estimated number of connections, of all instances, that fill the backend
 
 
 @dataclass(frozen=True, slots=True)
--- a/sailrun/decisions/backend_list.py
+++ b/sailrun/decisions/backend_list.py
@@ -55,7 +55,8 @@
             endpoint = self._table.endpoints[entry.id] = Endpoint(entry)
         endpoint.zone = entry.zone
         endpoint.cell = entry.cell
-        endpoint.capacity = entry.capacity if entry.capacity > 0 else 1.0
+        endpoint.weight = entry.weight
+        endpoint.capacity = self._context.settings.weight_source.capacity(entry.weight)
         if entry.started_us != endpoint.started_us:
             self._slow_start.record_restart(endpoint)
             endpoint.started_us = entry.started_us
--- a/sailrun/decisions/endpoints.py
+++ b/sailrun/decisions/endpoints.py
@@ -80,6 +80,7 @@
         "admission_probability",
         "allowance",
         "began_us",
+        "full_connections",
         "is_assumed",
         "is_counted",
         "max_sends",
@@ -98,6 +99,7 @@
         self.tokens = 0.0  # unused share of this instance's allowance per window, 0 to 1
         self.tokens_us = 0  # when `tokens` was updated
         self.allowance = 0.0  # of this instance for one window, in requests
+        self.full_connections = 0.0  # estimated connections of all instances that fill the backend
         self.max_sends = 1  # maximum number of attempts of this instance there within one window
         self.admission_probability = 0.0  # of the latest request
         self.is_assumed = False  # no start was stated: the backend was ejected and has recovered
@@ -124,6 +126,7 @@
         "start_notified_us",
         "started_us",
         "state",
+        "weight",
         "zone",
     )
 
@@ -132,7 +135,8 @@
         self.hash = backend_hash(entry.id)
         self.zone = entry.zone
         self.cell = entry.cell
-        self.capacity = entry.capacity
+        self.weight = entry.weight  # as listed
+        self.capacity = 1.0  # relative to that of the other backends
         self.started_us = -1  # as listed; -1: not listed yet
         self.start_notified_us = 0  # when this instance was notified of that start
         self.draining_notified_us = 0  # when it was notified that the backend drains or is gone
--- a/sailrun/decisions/events.py
+++ b/sailrun/decisions/events.py
@@ -60,7 +60,7 @@
     state: BackendState
     zone: str = ""
     cell: int = 0
-    capacity: float = 1.0
+    weight: float = 1.0  # `Settings.weight_source` states what it means
     started_us: int = 0  # 0: not stated, the start was long ago
 
 
--- a/sailrun/decisions/settings.py
+++ b/sailrun/decisions/settings.py
@@ -33,6 +33,23 @@
     CELL = "cell"
 
 
+class WeightSource(Enum):
+    """The meaning of the weights in the backend list."""
+
+    SILENT = "silent"  # all weights are equal
+    NOMINAL = "nominal"  # the registered capacity
+    ROUGH = "rough"  # approximately the capacity
+    LIVE = "live"  # the capacity divided by 1 and the requests in flight per core, at some earlier time
+
+    def capacity(self, weight: float) -> float:
+        """Returns a backend's capacity, relative to the others', as far as its weight states it; else 1.
+
+        A live weight states none: a backend without requests has many times the weight of its equals that
+        serve some, and the number of cores, by which the capacity could be computed, is not known.
+        """
+        return weight if weight > 0 and self is not WeightSource.LIVE else 1.0
+
+
 @dataclass(frozen=True, slots=True)
 class RequestClass:
     """A class of requests with its latency objective, its deadline and the effect of a repeat."""
@@ -86,5 +103,5 @@
     reports_delay: bool = False  # backends report the latency of messages
     pass_through: bool = False  # connections continue when the client switches to another instance
     park_us: int = 0  # how long a backend keeps an idle pass-through connection
-    capacity_hints: bool = False  # `Backend.capacity` states relative capacities
+    weight_source: WeightSource = WeightSource.SILENT  # what `Backend.weight` means
     tick_us: int = 1_000  # the minimum interval at which events are handled
--- a/sailrun/decisions/slow_start.py
+++ b/sailrun/decisions/slow_start.py
@@ -148,6 +148,7 @@
         limit = max_tolerated_requests(self._settings.overload_multiple * share * requests_per_window)
         mean = safe_mean_requests(limit)
         state = endpoint.slow_start
+        state.full_connections = connections
         state.allowance = mean / self._instances
         # A backend whose start is only assumed most likely did not restart, so withholding requests from
         # it would cost more than it gains.
@@ -199,7 +200,14 @@
         state.sends_us.append(now_us)
         allowance = state.max_sends if state.is_counted else state.allowance
         sent = self._count_recent_sends(endpoint, now_us)
-        return SlowStartAllowance(self.capacity_share(endpoint, now_us), sent, allowance)
+        return SlowStartAllowance(
+            self.capacity_share(endpoint, now_us),
+            sent,
+            allowance,
+            endpoint.weight,
+            endpoint.capacity,
+            state.full_connections,
+        )
 
     def _count_recent_sends(self, endpoint: Endpoint, now_us: int) -> int:
         sends_us = endpoint.slow_start.sends_us
--- a/sailrun/node/session.py
+++ b/sailrun/node/session.py
@@ -37,7 +37,7 @@
     state: BackendState
     zone: str = ""
     cell: int = 0
-    size: float = 1.0  # its capacity, relative to the others'
+    size: float = 1.0  # its weight as listed; `Settings.weight_source` states what it means
     started_us: int = 0  # Unix microseconds; 0: it started long ago
 
     @property
--- a/sailrun/node/sessions.py
+++ b/sailrun/node/sessions.py
@@ -145,6 +145,9 @@
             share=round(allowance.share, 3),
             sent=allowance.sent,
             part=round(allowance.part, 3),
+            weight=round(allowance.weight, 4),
+            capacity=round(allowance.capacity, 4),
+            fills=round(allowance.connections, 1),
         )
 
     def cancel_attempt(self, request: str, attempt: int) -> None:
--- a/sailrun/rebalance/rebalancer.py
+++ b/sailrun/rebalance/rebalancer.py
@@ -112,6 +112,7 @@
         self._settings = rebalance_settings
         self._node_count = decision_settings.instances
         self._slow_start_us = decision_settings.slow_start_us
+        self._weight_source = decision_settings.weight_source
         self._objectives_us = {c.name: c.objective_us for c in decision_settings.classes}
         self._rest_us = int(rebalance_settings.rest_s * SECOND)
         self._servers: dict[int, Backend] = {}
@@ -351,10 +352,13 @@
             n: (own_loads.get(n, 0.0) + reported_loads.get(n, 0.0)) / known_share
             for n in servers_past_slow_start
         }
-        capacity = sum(s.capacity for s in servers_past_slow_start.values())
+        capacities = {
+            n: self._weight_source.capacity(server.weight) for n, server in servers_past_slow_start.items()
+        }
+        capacity = sum(capacities.values())
         total_load = sum(loads.values())
         shares = (
-            {n: total_load * s.capacity / capacity for n, s in servers_past_slow_start.items()}
+            {n: total_load * capacities[n] / capacity for n in servers_past_slow_start}
             if capacity > 0
             else {}
         )
@@ -369,7 +373,7 @@
             / known_share
             * (ACTIVE_NOISE_SHARE if self._is_active else 1.0)
         )
-        acceptable_loads = {n: acceptable_load * s.capacity for n, s in servers_past_slow_start.items()}
+        acceptable_loads = {n: acceptable_load * capacities[n] for n in servers_past_slow_start}
         return LoadEstimate(_shrink_to_shares(loads, shares, noise), shares, known_share, acceptable_loads)
 
     def _has_free_capacity(self, server: int) -> bool:
--- a/sailrun/settings_codec.py
+++ b/sailrun/settings_codec.py
@@ -9,7 +9,15 @@
 from enum import Enum
 from typing import TypeVar
 
-from sailrun.decisions.settings import DedupScope, DiscoveryMode, Effect, RequestClass, Settings, Tenant
+from sailrun.decisions.settings import (
+    DedupScope,
+    DiscoveryMode,
+    Effect,
+    RequestClass,
+    Settings,
+    Tenant,
+    WeightSource,
+)
 from sailrun.wire_fields import FLAGS, Fields, choice, integer, number, text
 
 Member = TypeVar("Member", bound=Enum)
@@ -58,7 +66,9 @@
         pass_through=fields.get("familyInfo.mode") == "pass",
         park_us=read_int("familyInfo.parkUs", 0),
         reports_delay=read_flag("familyInfo.tellsDelay"),
-        capacity_hints=fields.get("weightSource", "silent") != "silent",
+        weight_source=choice(
+            MESSAGE, {"weightSource": "silent", **fields}, "weightSource", _by_value(WeightSource)
+        ),
         tick_us=read_int("tickUs", 1_000),
     )
 
--- a/sailrun/wire.py
+++ b/sailrun/wire.py
@@ -72,7 +72,7 @@
         state=choice("m", fields, "lifecycle", states),
         zone=fields.get("az", ""),
         cell=integer("m", fields, "cohort", 0),
-        capacity=number("m", fields, "capacityHint", 1.0),
+        weight=number("m", fields, "capacityHint", 1.0),
         started_us=integer("m", fields, "bootTimeUs", 0),
     )
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -109,7 +109,7 @@
 
     def always_ready(self: BackendList, entry: Backend) -> None:
         apply_entry(
-            self, Backend(entry.id, BackendState.READY, entry.zone, 0, entry.capacity, entry.started_us)
+            self, Backend(entry.id, BackendState.READY, entry.zone, 0, entry.weight, entry.started_us)
         )
 
     monkeypatch.setattr(BackendList, "apply_entry", always_ready)
--- a/tests/test_slow_start_log.py
+++ b/tests/test_slow_start_log.py
@@ -33,6 +33,7 @@
             and "sent=1" in send_line
             and "part=" in send_line
             and "share=0.1" in send_line
+            and "weight=1.0 capacity=1.0 fills=" in send_line
         )
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -41,7 +41,7 @@
     RequestArrived,
     TimerFired,
 )
-from sailrun.decisions.settings import DedupScope, Effect, RequestClass, Tenant
+from sailrun.decisions.settings import DedupScope, Effect, RequestClass, Tenant, WeightSource
 from sailrun.settings_codec import read_settings_fields
 from sailrun.wire_fields import split_fields
 
@@ -105,7 +105,7 @@
         2,
         1,
     )
-    assert settings.probes and settings.capacity_hints and not settings.cancel
+    assert settings.probes and settings.weight_source is WeightSource.NOMINAL and not settings.cancel
 
 
 EVENTS = {
