Watch each client of the BYE case on a thread of its own

Cause: the case read its clients one after another, so all but the first were read after the time was up and shown as without an answer. Change: a thread for each client.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -26,6 +27,33 @@
         peer.send(b"BYE\r\n")
 
 
+class Client:
+    """A client that waits for the end of its connection."""
+
+    def __init__(self, n: int, node: h.Node, record: h.Record) -> None:
+        self.n, self.record = n, record
+        self.lines: list[bytes] = []
+        self.open_s = WATCHED_S
+        self._peer = h.connect(node.listen)
+        self._peer.send(h.open_line(f"{n:016x}", f"{n * 7919 * 65537:016x}"))
+        self._sent_at = time.monotonic()
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+
+    def _run(self) -> None:
+        end = "was ended"
+        try:
+            while (line := self._peer.receive_line(self._sent_at + WATCHED_S)) is not None:
+                self.lines.append(line)
+            self.open_s = time.monotonic() - self._sent_at
+        except TimeoutError:
+            end = "is still open"
+        except ConnectionError as error:
+            end, self.open_s = f"broke ({error})", time.monotonic() - self._sent_at
+        self.record(f"client {self.n} got {self.lines}; its connection {end} after {self.open_s:.3f} s")
+        self._peer.close()
+
+
 def play(record: h.Record, scratch: Path, nodes: list[h.Node]) -> bool:
     """Measures how long each client's connection stays open after its form server has ended it."""
     servers = [ByeServer(f"s-{n:08x}", record) for n in range(SERVERS)]
@@ -33,28 +61,10 @@
     node = h.Node(scratch / "node", record, h.node_config(registry), "node")
     nodes.append(node)
     node.wait_ready()
-    clients = []
-    for n in range(CLIENTS):
-        client = h.connect(node.listen)
-        client.send(h.open_line(f"{n:016x}", f"{n * 7919 * 65537:016x}"))
-        clients.append((client, time.monotonic()))
-    held = True
-    for n, (client, sent_at) in enumerate(clients):
-        lines: list[bytes] = []
-        try:
-            while (line := client.receive_line(sent_at + WATCHED_S)) is not None:
-                lines.append(line)
-            seconds = time.monotonic() - sent_at
-            record(f"client {n} got {lines}; its connection was ended after {seconds:.3f} s")
-        except TimeoutError:
-            record(f"client {n} got {lines}; its connection is still open after {WATCHED_S} s")
-            seconds = WATCHED_S
-        except ConnectionError as error:
-            seconds = time.monotonic() - sent_at
-            record(f"client {n} got {lines}; {error} after {seconds:.3f} s")
-        held = held and (not lines or seconds <= LIMIT_S)
-        client.close()
-    return held
+    clients = [Client(n, node, record) for n in range(CLIENTS)]
+    for client in clients:
+        client.thread.join()
+    return all(client.open_s <= LIMIT_S for client in clients if client.lines)
 
 
 h.main(play)
