Write the first line from its parsed fields, so that only the deadline changes

What callers saw: a client whose id is `d=2000` had `OPEN d=499 ...` forwarded, a first line that no client sent, and the real `d` stayed as it was.

Cause: the line was parsed, but forwarded by a regular expression that replaced the first `d=` number after a space or comma, which the id and the key may contain too. Reading the same bytes twice by different rules is what made the difference; ids have no form that could be checked instead.

Change: OpenRequest keeps the words, the fields in order and the line ending, and writes the line from them. The AMQP front replaces a property by name and is not affected (by reading).

--- a/sailrun/text_protocol/clients.py
+++ b/sailrun/text_protocol/clients.py
@@ -162,7 +162,7 @@
     def _make_transfer(self, server: Connection) -> SessionTransfer:
         assert self._request is not None and self._session is not None and self._placement is not None
         content = {
-            "line": self._request.line.decode("latin-1"),
+            "line": self._request.to_line().decode("ascii"),
             "id": self._session.id,
             "server": self._placement.form_server.name,
             "attempt": self._placement.attempt,
--- a/sailrun/text_protocol/lines.py
+++ b/sailrun/text_protocol/lines.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Container
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
 from sailrun.decisions.events import AttemptOutcome
@@ -11,7 +11,7 @@
 from sailrun.errors import SailrunError
 
 _WORD = re.compile(r"[\x21-\x7e]{1,128}")
-_DEADLINE = re.compile(rb"(?<=[ ,])d=\d+")
+_WAIT_FIELD = "d"
 # The longest deadline that a client may state for a new session, in milliseconds.
 MAX_WAIT_MS = 600_000
 
@@ -22,11 +22,12 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenRequest:
-    """A client's first line."""
+    """A client's first line, from whose parts the same line can be written again."""
 
-    line: bytes
     id: str
     key: str
+    fields: tuple[tuple[str, str], ...]  # names and values in the order of the line
+    line_ending: str
     request_class: str
     wait_ms: int
     group: str | None
@@ -35,9 +36,19 @@
     resumed_at: str | None
     load_hint: float | None
 
+    def to_line(self) -> bytes:
+        """Returns the line as the client sent it."""
+        return self._write(self.fields)
+
     def for_form_server(self, wait_ms: int) -> bytes:
         """Returns the same line with the time that the node will wait for the answer."""
-        return _DEADLINE.sub(b"d=%d" % wait_ms, self.line, count=1)
+        return self._write(
+            (name, str(wait_ms) if name == _WAIT_FIELD else value) for name, value in self.fields
+        )
+
+    def _write(self, fields: Iterable[tuple[str, str]]) -> bytes:
+        pairs = ",".join(f"{name}={value}" for name, value in fields)
+        return f"OPEN {self.id} {self.key} {pairs}{self.line_ending}".encode("ascii")
 
 
 def parse_open_request(line: bytes, classes: Container[str]) -> OpenRequest:
@@ -45,9 +56,11 @@
     names a class that the settings do not have: form servers would reject it, and would count as outliers.
     """
     try:
-        words = line.decode("ascii").rstrip("\r\n").split(" ")
+        text = line.decode("ascii")
     except UnicodeDecodeError:
         raise InvalidLineError("expected ASCII text, found other bytes") from None
+    stripped_text = text.rstrip("\r\n")
+    words = stripped_text.split(" ")
     if len(words) != 4 or words[0] != "OPEN" or not all(_WORD.fullmatch(w) for w in words[1:]):
         raise InvalidLineError("expected 'OPEN', an id, a key and a list of name=value pairs")
     fields: dict[str, str] = {}
@@ -60,15 +73,16 @@
         raise InvalidLineError("'c' is missing or empty, expected a request class")
     if fields["c"] not in classes:
         raise InvalidLineError("the request class in 'c' does not exist in the settings")
-    wait = fields.get("d", "")
+    wait = fields.get(_WAIT_FIELD, "")
     # For a new session the time is limited. A client that resumes a session from before this node started may
     # state any time, which is reduced to the maximum below.
     if not wait.isdigit() or len(wait) > 12 or not (0 < int(wait) <= MAX_WAIT_MS or fields.get("at")):
         raise InvalidLineError("'d' is missing or not a whole number of milliseconds from 1 to 600000")
     return OpenRequest(
-        line,
         words[1],
         words[2],
+        tuple(fields.items()),
+        text.removeprefix(stripped_text),
         fields["c"],
         min(int(wait), MAX_WAIT_MS),
         fields.get("g"),
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -74,6 +74,19 @@
     assert running.request_session().read_line() == "UP r1"
 
 
+@pytest.mark.parametrize("id_", ["d=2000", "x,d=2000"])
+def test_a_field_in_place_of_the_id_is_forwarded_unchanged(
+    running: RunningNode, form_server: FormServer, id_: str
+) -> None:
+    # Guards against rewriting such an id in place of the deadline: a first line that no client sent.
+    assert running.request_session(id_).read_line() == "UP r1"
+    command, forwarded_id, key, fields = form_server.first_lines.get(timeout=TIME_LIMIT_S).split(" ")
+    assert (command, forwarded_id, key) == ("OPEN", id_, "7f3a9c21e0b4d655")
+    request_class, wait, group = fields.split(",")
+    assert (request_class, group) == ("c=page-load", "g=5c0f6e1a2b3d4c59")
+    assert 0 < int(wait.removeprefix("d=")) <= 8000
+
+
 def test_a_second_command_before_the_answer_is_an_error(
     running: RunningNode, form_server: FormServer
 ) -> None:
