Forward a form server's line once it is complete, so that MOVE never follows half a line

What callers saw: a form server that stopped within a line had its clients get `re 0000000MOVE`: a line that no form server made, and no MOVE.

Cause: half lines were forwarded at once, and MOVE was written 0.5 s after a move began without asking what the client already had. Every way to a move ends in ClientConnection.move and showed it: silence, SIGTERM, drain-on, set-down, a draining form server, and SIGTERM after a hot restart.

Change: incomplete lines are withheld. After 0.5 s the withheld part is dropped and MOVE is sent; if the form server ends within a line, the part is forwarded with the end. A transfer states apart what the client has and what is withheld (transferred_session.py, typed). A client that has half a line from a process of an earlier version is ended without MOVE if the line is not completed; an earlier version refuses a session with a withheld part.

test_a_client_is_moved_between_two_lines asked that half a line be forwarded at once. That contradicts the protocol: at SIGTERM no MOVE could follow half a line, and a connection ended without MOVE is lost. It now asks that the complete line be forwarded at once and the other one when it is complete.

--- a/benchmarks/external_names/tables.py
+++ b/benchmarks/external_names/tables.py
@@ -6,7 +6,10 @@
 
 # Modules whose string literals are external names, by kind. A folder means all of its modules.
 LITERAL_MODULES: dict[str, tuple[str, ...]] = {
-    "text-protocol": ("text_protocol/lines.py", "text_protocol/clients.py", "text_protocol/peers.py"),
+    "text-protocol": (
+        *("text_protocol/lines.py", "text_protocol/clients.py", "text_protocol/peers.py"),
+        "text_protocol/transferred_session.py",
+    ),
     "amqp": ("amqp",),
     "xds": ("xds",),
     "registry": ("discovery.py", "http_calls.py", "leadership/shared_discovery.py"),
--- a/sailrun/connection.py
+++ b/sailrun/connection.py
@@ -57,7 +57,7 @@
     When the buffer is full, it is compacted in place if bytes at its start have been taken, else doubled.
     """
 
-    __slots__ = ("_buffer", "_end", "_max_buffered", "_peeked_end", "_start", "ended", "sock")
+    __slots__ = ("_buffer", "_end", "_max_buffered", "_start", "ended", "sock")
 
     def __init__(self, sock: socket.socket, max_buffered: int = 2 * MAX_LINE_LENGTH) -> None:
         sock.setblocking(False)
@@ -66,7 +66,6 @@
         self.sock = sock
         self._buffer = bytearray(INITIAL_BUFFER_BYTES)
         self._start = self._end = 0
-        self._peeked_end = 0  # `peek_new` has returned the bytes before this position
         self._max_buffered = max_buffered
         self.ended = False  # the other side has ended its sending
 
@@ -75,12 +74,11 @@
         Raises OSError if the connection breaks, OverlongLineError if the buffer is full.
         """
         if self._start == self._end:
-            self._start = self._end = self._peeked_end = 0
+            self._start = self._end = 0
         if self._end == len(self._buffer):
             if self._start:
                 buffered = self._end - self._start
                 self._buffer[:buffered] = self._buffer[self._start : self._end]
-                self._peeked_end = max(0, self._peeked_end - self._start)
                 self._start, self._end = 0, buffered
             elif len(self._buffer) >= self._max_buffered:
                 raise OverlongLineError(
@@ -102,15 +100,12 @@
     def _receive(self, free_space: memoryview) -> int:
         return self.sock.recv_into(free_space)
 
-    def restore(self, data: bytes, peeked: bool) -> None:
-        """Fills the buffer with bytes that another process has read; `peeked`: it has also forwarded them, so
-        `peek_new` does not return them again.
-        """
+    def restore(self, data: bytes) -> None:
+        """Fills the buffer with bytes that another process has read and not taken."""
         while len(self._buffer) < len(data):
             self._buffer.extend(bytes(len(self._buffer)))
         self._buffer[: len(data)] = data
         self._start, self._end = 0, len(data)
-        self._peeked_end = self._end if peeked else 0
 
     def peek(self, count: int | None = None) -> bytes:
         """Returns the first `count` buffered bytes, or all of them, without taking them."""
@@ -121,14 +116,6 @@
         """Returns the number of bytes that were received and not taken yet."""
         return self._end - self._start
 
-    def peek_new(self) -> bytes:
-        """Returns the bytes received since the last call. They stay buffered, so that their lines can still
-        be taken.
-        """
-        data = bytes(self._buffer[max(self._start, self._peeked_end) : self._end])
-        self._peeked_end = self._end
-        return data
-
     def take(self, count: int | None = None) -> bytes:
         """Takes the first `count` buffered bytes, or all of them if no count is given."""
         stop = self._end if count is None else min(self._end, self._start + count)
@@ -141,6 +128,11 @@
         newline = self._buffer.find(b"\n", self._start, self._end)
         return None if newline < 0 else self.take(newline + 1 - self._start)
 
+    def take_lines(self) -> bytes:
+        """Takes all complete lines; returns no bytes if none is buffered."""
+        last_newline = self._buffer.rfind(b"\n", self._start, self._end)
+        return b"" if last_newline < 0 else self.take(last_newline + 1 - self._start)
+
     async def line(self) -> bytes | None:
         """Waits for a complete line and takes it; returns None if the other side ends its sending first.
         Raises OverlongLineError if the line is longer than `MAX_LINE_LENGTH`.
--- a/sailrun/text_protocol/clients.py
+++ b/sailrun/text_protocol/clients.py
@@ -13,7 +13,7 @@
 
 from sailrun.connection import Connection, OutOfDescriptorsError, OverlongLineError, connect
 from sailrun.decisions.events import AttemptOutcome, BackendState
-from sailrun.decisions.load_range import LoadOutOfRangeError, check_load
+from sailrun.decisions.load_range import LoadOutOfRangeError
 from sailrun.front import FrontAcceptor, PendingConnections
 from sailrun.node.clock import log
 from sailrun.node.core import Node
@@ -30,6 +30,7 @@
     parse_open_request,
 )
 from sailrun.text_protocol.load_lines import Load, LoadLineClassifier
+from sailrun.text_protocol.transferred_session import TransferredSession
 
 SECOND = 1_000_000
 # A connection that has not sent a request within this time is closed, so that silent connections do not use
@@ -38,8 +39,8 @@
 # A client may check the node with PING before its request. After this many PING lines the connection is
 # closed with an error.
 MAX_PINGS = 16
-# A client is moved between two lines. If the form server has not completed a line after this time, the line
-# is cut off.
+# A client is moved between two lines. If the form server has not completed a line after this time, the part
+# that the client does not have is dropped.
 PARTIAL_LINE_TIMEOUT_US = SECOND // 2
 # After the last answer, input from the other side is read and discarded for this long: closing a socket with
 # unread input would reset the connection, and the other side could lose the answer.
@@ -102,6 +103,9 @@
         self._session: FormSession | None = None
         self._form_server: Connection | None = None  # set once the session is established
         self._server_name: str | None = None
+        # The start of an incomplete line of the form server that the client has. Only a predecessor of an
+        # earlier version forwards less than a line.
+        self._forwarded_part = b""
         self._command_sender: MemoryObjectSendStream[Placement | bytes]
         self._command_receiver: MemoryObjectReceiveStream[Placement | bytes]
         self._command_sender, self._command_receiver = anyio.create_memory_object_stream(8)
@@ -124,54 +128,43 @@
     def from_transfer(
         cls, front: ClientFront, content: Any, sockets: Sequence[socket.socket]
     ) -> ClientConnection:
-        """Restores a session from the content that `_make_transfer` created in another process."""
-        try:
-            client, server = sockets
-            request = parse_open_request(content["line"].encode("latin-1"), front.classes)
-            placement = Placement(
-                FormServer(str(content["server"]), ("", 0), BackendState.GONE), int(content["attempt"]), 0
-            )
-            unanswered = [int(sent_us) for sent_us in content["unanswered"]]
-            load = None if content["load"] is None else check_load(content["load"])
-            client_buffer, server_buffer = (
-                content["held"].encode("latin-1"),
-                content["half_said"].encode("latin-1"),
-            )
-            id_ = str(content["id"])
-        except (KeyError, TypeError, AttributeError, UnicodeError, OverflowError) as error:
-            raise ValueError(f"invalid content of a transferred session: {error!r}") from None
+        """Restores a session from the content that `_make_transfer` created in another process. Raises
+        ValueError.
+        """
+        transferred = TransferredSession.from_content(content, front.classes)
+        client, server = sockets
+        request = transferred.request
         if request.id in front.ids_in_use:
             raise ValueError("the id of the transferred session is already in use")
         self = cls(front, Connection(client))
         self._take_id(request.id)
-        self._client.restore(client_buffer, peeked=False)
+        self._client.restore(transferred.client_input)
         self._form_server = Connection(server)
-        self._form_server.restore(server_buffer, peeked=True)
-        self._request, self._server_name, self._load, self._answered = (
-            request,
-            placement.form_server.name,
-            load,
-            True,
-        )
-        self._placement = placement
-        self._session = self._make_session(request, id_, 0)
+        self._form_server.restore(transferred.withheld_part)
+        self._forwarded_part = transferred.forwarded_part
+        self._request, self._load, self._answered = request, transferred.load, True
+        self._server_name = transferred.server_name
+        form_server = FormServer(transferred.server_name, ("", 0), BackendState.GONE)
+        self._placement = Placement(form_server, transferred.attempt, 0)
+        self._session = self._make_session(request, transferred.id, 0)
         self._session.resumed_at = None
-        self._session.unanswered_since_us.extend(unanswered)
+        self._session.unanswered_since_us.extend(transferred.unanswered_since_us)
         return self
 
     def _make_transfer(self, server: Connection) -> SessionTransfer:
         assert self._request is not None and self._session is not None and self._placement is not None
-        content = {
-            "line": self._request.to_line().decode("ascii"),
-            "id": self._session.id,
-            "server": self._placement.form_server.name,
-            "attempt": self._placement.attempt,
-            "unanswered": list(self._session.unanswered_since_us),
-            "load": self._load,
-            "held": self._client.peek().decode("latin-1"),
-            "half_said": server.peek().decode("latin-1"),
-        }
-        return SessionTransfer(content, (self._client.sock, server.sock))
+        transferred = TransferredSession(
+            request=self._request,
+            id=self._session.id,
+            server_name=self._placement.form_server.name,
+            attempt=self._placement.attempt,
+            unanswered_since_us=tuple(self._session.unanswered_since_us),
+            load=self._load,
+            client_input=self._client.peek(),
+            forwarded_part=self._forwarded_part,
+            withheld_part=server.peek(),
+        )
+        return SessionTransfer(transferred.to_content(), (self._client.sock, server.sock))
 
     # ------------------------------------------------------------------ commands of the node
 
@@ -584,57 +577,79 @@
                 server.close()
 
     async def _run_session(self, server: Connection) -> AttemptOutcome:
-        """Forwards input from the form server at once, whether complete lines or not; returns how the session
-        ended.
+        """Forwards input from the client at once, and complete lines from the form server, until the session
+        ends; returns how it ended.
         """
         assert self._session is not None
         if self._client.buffered():
             await self._forward_to_form_server()
-        ending = AttemptOutcome.RESET
-        if server.buffered():
-            ending = await self._forward_to_client(server, ending)
+        ending = await self._forward_to_client(server, AttemptOutcome.RESET)
         while True:
-            partial_line_until_us = self._moving_since_us + PARTIAL_LINE_TIMEOUT_US
-            is_between_lines = not server.buffered() or self._node.clock.now_us() >= partial_line_until_us
-            if self._moving_since_us and is_between_lines:
-                self._reason = "moved"
-                await self._client.write(b"MOVE\r\n")
+            if self._moving_since_us and self._may_move_now(server):
+                await self._move_client()
                 return AttemptOutcome.CANCELLED
             if self._client.ended:
                 return AttemptOutcome.CANCELLED
             if (send := self._send_transfer) is not None and await self._transfer_session(server, send):
                 self._reason = "handed-over"
                 return AttemptOutcome.CANCELLED
-            scope = anyio.CancelScope()
-            if self._moving_since_us:
-                scope.deadline = self._node.clock.to_deadline(partial_line_until_us)
-            has_input = None
             try:
-                with scope:
-                    self._wait_scope = scope
-                    has_input = await server.fill()
+                has_input = await self._wait_for_form_server(server)
             except OSError:
                 self._reason, self._broken = "form-server-broke", True
                 return ending
             except OverlongLineError:
                 self._reason, self._broken = "form-server-line-too-long", True
                 return AttemptOutcome.ERROR
-            finally:
-                self._wait_scope = None
             if has_input:
+                self._node.bytes_received(self._session)
                 ending = await self._forward_to_client(server, ending)
             elif has_input is not None:
+                await self._client.write(server.take())  # the form server ended within a line
                 self._reason = _END_REASONS.get(ending, "form-server-ended")
                 return ending
 
+    def _may_move_now(self, server: Connection) -> bool:
+        """Whether the form server is between two lines, or has had enough time to complete one."""
+        if not server.buffered() and not self._forwarded_part:
+            return True
+        return self._node.clock.now_us() >= self._moving_since_us + PARTIAL_LINE_TIMEOUT_US
+
+    async def _move_client(self) -> None:
+        """Sends `MOVE`. A client that has half a line gets nothing more: its connection just ends."""
+        if self._forwarded_part:
+            self._reason = "ended-within-line"
+            return
+        self._reason = "moved"
+        await self._client.write(b"MOVE\r\n")
+
+    async def _wait_for_form_server(self, server: Connection) -> bool | None:
+        """Waits for input from the form server; returns False once it has ended its sending, and None if the
+        wait was interrupted. Raises OSError or OverlongLineError.
+        """
+        scope = anyio.CancelScope()
+        if self._moving_since_us:
+            move_by_us = self._moving_since_us + PARTIAL_LINE_TIMEOUT_US
+            scope.deadline = self._node.clock.to_deadline(move_by_us)
+        try:
+            with scope:
+                self._wait_scope = scope
+                return await server.fill()
+        finally:
+            self._wait_scope = None
+        return None
+
     async def _forward_to_client(self, server: Connection, ending: AttemptOutcome) -> AttemptOutcome:
-        """Forwards the received bytes, then evaluates the complete lines; the start of an incomplete line
-        stays in the buffer.
+        """Forwards and evaluates the complete lines. The start of an incomplete one stays in the buffer: once
+        the client had a part of it, `MOVE` could not follow before its end.
         """
         assert self._session is not None
-        await self._client.write(server.peek_new())
-        self._node.bytes_received(self._session)
-        while (line := server.take_line()) is not None:
+        lines = server.take_lines()
+        if not lines:
+            return ending
+        await self._client.write(lines)
+        lines, self._forwarded_part = self._forwarded_part + lines, b""
+        for line in lines.split(b"\n")[:-1]:
             ending = END_OUTCOMES.get(first_word(line), AttemptOutcome.RESET)
             load = self._read_load(line)
             if load is not None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -216,12 +216,13 @@
     with node(tmp_path, roster) as running:
         client = running.request_session()
         assert client.read_line() == "UP r1"
-        form_server.peers[0].sock.sendall(b"page ")  # an incomplete line is forwarded at once
-        assert client.file.read(5) == b"page "
+        # The complete line is forwarded at once, and the incomplete one when it is complete.
+        form_server.peers[0].sock.sendall(b"page 6\r\npage ")
+        assert client.file.read(8) == b"page 6\r\n"
         running.terminate()
         running.logged("leaving")
         form_server.peers[0].sock.sendall(b"7\r\n")
-        assert [client.read_line(), client.read_line(), client.read_line()] == ["7", "MOVE", ""]
+        assert [client.read_line(), client.read_line(), client.read_line()] == ["page 7", "MOVE", ""]
 
 
 def test_clients_are_moved_off_a_draining_form_server(
