Register a successor's channel in the step that takes the state, and mirror nothing back

What callers saw: `set-down` answered ok while a new process starts, and the new process sends new sessions to that form server for as long as it runs. set-up, drain-on and drain-off were lost in the same way.

Causes, each shown apart: - The state was copied in one turn of the loop, and the channel registered after it had been sent; a command in between was in neither. - A command written right behind the state was read as a part of its line; the checksum was wrong and the whole state was dropped. - Each process mirrored what was mirrored to it.

Channel has a module of its own.

--- a/sailrun/hot_restart/handover.py
+++ b/sailrun/hot_restart/handover.py
@@ -6,15 +6,16 @@
 import resource
 import socket
 import time
-from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
 
 from sailrun.connection import OverlongLineError, show_address
+from sailrun.hot_restart.channel import MAX_TRANSFERS_IN_FLIGHT, Channel, read_line
 from sailrun.hot_restart.link import (
     MAX_SOCKETS,
     HandoverListener,
@@ -36,9 +37,8 @@
 from sailrun.hot_restart.succession import Succession
 from sailrun.node.clock import log
 from sailrun.node.core import Node
-from sailrun.node.queries import send_query
+from sailrun.node.queries import Reply, send_query
 from sailrun.node.restart_state import NodeSnapshot
-from sailrun.node.session_transfer import SessionTransfer
 from sailrun.node.shutdown import ShutdownReason
 
 SECOND = 1_000_000
@@ -49,9 +49,6 @@
 LOAD_REPORT_INTERVAL_US = SECOND // 4
 # A connection without a request is closed after this time.
 REQUEST_TIMEOUT_US = 2 * SECOND
-# The number of sessions that are transferred to the successor at once. Until it has accepted a session, both
-# processes hold the session's descriptors.
-MAX_TRANSFERS_IN_FLIGHT = 8
 # The least number of descriptors that a successor may open, however many its predecessor has open.
 MIN_DESCRIPTORS = 64
 
@@ -87,7 +84,7 @@
     while (sock := connect_to_predecessor(name)) is not None:
         try:
             sock.sendall(pack("succeed", None))
-            line, sockets = receive_with_sockets(sock, deadline)
+            line, sockets, following = receive_with_sockets(sock, deadline)
         except OSError as error:
             sock.close()
             if time.monotonic() + RETRY_INTERVAL_S < deadline and isinstance(error, ConnectionError):
@@ -105,7 +102,9 @@
             log("passage-dropped", why=str(error))
         if len(keys) != len(sockets):
             keys = [f"unknown {n}" for n in range(len(sockets))]
-        return Inherited(Link(sock), state, dict(zip(keys, sockets, strict=True)))
+        link = Link(sock)
+        link.restore(following)
+        return Inherited(link, state, dict(zip(keys, sockets, strict=True)))
     return None
 
 
@@ -135,9 +134,15 @@
             adopt,
         )
         self._succession = Succession()
-        self._channels: dict[Link, _Channel] = {}
+        # The other processes of this node, which mirror its operator commands.
+        self._channels: set[Channel] = set()
         self._predecessor_descriptors = 0  # descriptors that the predecessor has open, as last reported
         node.on_operator_command = self._forward_operator_command
+        self._predecessor_channel: Channel | None = None
+        if inherited is not None:
+            # Registered before the node executes its first command.
+            self._predecessor_channel = Channel(inherited.link)
+            self._channels.add(self._predecessor_channel)
 
     async def run(self) -> None:
         """Runs until cancelled. A successor first notifies its predecessor, which then stops accepting.
@@ -146,8 +151,9 @@
         """
         barrier = self._node.barrier
         async with anyio.create_task_group() as group:
-            if self._inherited is not None:
-                group.start_soon(barrier.run_task, "predecessor", self._run_as_successor, self._inherited)
+            if self._predecessor_channel is not None:
+                channel = self._predecessor_channel
+                group.start_soon(barrier.run_task, "predecessor", self._run_as_successor, channel)
             try:
                 handover_listener = HandoverListener(self._name)
             except OSError as error:
@@ -168,19 +174,19 @@
 
     # ------------------------------------------------------------------ messages between the two processes
 
-    def _forward_operator_command(self, kind: str, content: Any) -> None:
-        for channel in self._channels.values():
-            channel.send_message(kind, content)
+    def _forward_operator_command(self, command: str, content: Any, origin: object | None) -> None:
+        for channel in self._channels:
+            if channel is not origin:
+                channel.send_message(command, content)
 
     async def _run_channel(
-        self, link: Link, handle_message: Callable[[_Channel, str, Any, TaskGroup], None]
+        self, channel: Channel, handle_message: Callable[[Channel, str, Any, TaskGroup], None]
     ) -> None:
         """Sends and receives messages until the other process closes the connection."""
-        channel = self._channels[link] = _Channel(link)
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(channel.write)
-                while (line := await _read_line(link)) is not None:
+                while (line := await read_line(channel.link)) is not None:
                     kind, content = unpack(line)
                     handle_message(channel, kind, content, group)
                 group.cancel_scope.cancel()
@@ -189,13 +195,16 @@
         except* InvalidHandoverError as broken:
             log("passage-dropped", why=str(broken.exceptions[0]))
         finally:
-            del self._channels[link]
-            channel.close()
+            self._close_channel(channel)
+
+    def _close_channel(self, channel: Channel) -> None:
+        self._channels.discard(channel)
+        channel.close()
 
     # ------------------------------------------------------------------ as the successor
 
-    async def _run_as_successor(self, inherited: Inherited) -> None:
-        def handle_message(channel: _Channel, kind: str, content: Any, _group: TaskGroup) -> None:
+    async def _run_as_successor(self, channel: Channel) -> None:
+        def handle_message(channel: Channel, kind: str, content: Any, _group: TaskGroup) -> None:
             if kind == "held":
                 load = read_process_load(content)
                 self._limit_descriptors(load.descriptors)
@@ -203,19 +212,17 @@
             elif kind == "session":
                 self._receive_session(channel, content)
             else:
-                self._node.mirror_operator_command(kind, content)
+                self._node.mirror_operator_command(kind, content, channel)
 
+        channel.send_message("took", None)
         try:
-            await inherited.link.write(pack("took", None))
-            await self._run_channel(inherited.link, handle_message)
-        except OSError:
-            inherited.link.close()  # the predecessor ended while this process started
+            await self._run_channel(channel, handle_message)
         finally:
             self._limit_descriptors(0)
             self._node.update_predecessor_load(None)
         log("predecessor-ended")
 
-    def _receive_session(self, channel: _Channel, content: Any) -> None:
+    def _receive_session(self, channel: Channel, content: Any) -> None:
         """Takes over an established session, which this process owns once it has sent `adopted`."""
         sockets = channel.link.take_sockets()
         try:
@@ -250,39 +257,51 @@
         is_request = False
         with anyio.CancelScope(deadline=clock.to_deadline(clock.now_us() + REQUEST_TIMEOUT_US)):
             try:
-                line = await _read_line(link) if is_same_user(sock) else None
+                line = await read_line(link) if is_same_user(sock) else None
                 is_request = line is not None and unpack(line)[0] == "succeed"
             except (OSError, OverlongLineError, InvalidHandoverError) as error:
                 log("passage-dropped", why=str(error))
         if not is_request or not self._succession.on_request():
             link.close()
             return
+        channel = Channel(link)
         try:
-            state = await send_query(self._node.snapshot_state)
+            state = await send_query(partial(self._snapshot_for, channel))
             sockets = dict(list(self._get_sockets().items())[:MAX_SOCKETS])
             content = {"sockets": list(sockets), "state": write_state(state)}
             await send_with_sockets(link, pack("state", content), list(sockets.values()))
             log("handed-over", sockets=",".join(f"{k}={_format_address(s)}" for k, s in sockets.items()))
-            await self._run_channel(link, self._handle_successor_message)
+            await self._run_channel(channel, self._handle_successor_message)
         except OSError as error:
             log("successor-unreached", error=str(error))
-            link.close()
         finally:
+            self._close_channel(channel)
             if self._succession.on_disconnected(ShutdownReason.RESTART in self._node.shutdown):
                 self._node.set_successor(None)
                 self._set_paused(False)
 
-    def _handle_successor_message(self, channel: _Channel, kind: str, content: Any, group: TaskGroup) -> None:
+    def _snapshot_for(self, channel: Channel, reply: Reply[NodeSnapshot]) -> None:
+        """Takes the snapshot for a successor and registers its channel before the next command is executed:
+        each command is in the snapshot or follows it on the channel, and none is both.
+        """
+
+        def register(state: NodeSnapshot) -> None:
+            self._channels.add(channel)
+            reply(state)
+
+        self._node.snapshot_state(register)
+
+    def _handle_successor_message(self, channel: Channel, kind: str, content: Any, group: TaskGroup) -> None:
         if kind in ("adopted", "refused"):
             channel.settle(content, kind == "adopted")
         elif kind != "took":
-            self._node.mirror_operator_command(kind, content)
+            self._node.mirror_operator_command(kind, content, channel)
         elif self._succession.on_accepted():
             self._set_paused(True)
             self._node.set_successor(channel.send_session)
             group.start_soon(self._report_load, channel)
 
-    async def _report_load(self, channel: _Channel) -> None:
+    async def _report_load(self, channel: Channel) -> None:
         clock = self._node.clock
         next_us = clock.now_us()
         while True:
@@ -293,62 +312,5 @@
             await anyio.sleep_until(clock.to_deadline(next_us))
 
 
-class _Channel:
-    """The connection to the other process, with the messages and the sessions that are queued for it."""
-
-    def __init__(self, link: Link) -> None:
-        self.link = link
-        self._queued_lines: list[bytes] = []
-        self._queued_transfers: deque[SessionTransfer] = deque()
-        self._in_flight: dict[int, SessionTransfer] = {}
-        self._last_number = 0
-        self._wake_up = anyio.Event()
-        self._is_closed = False
-
-    def send_message(self, kind: str, content: Any) -> None:
-        self._queued_lines.append(pack(kind, content))
-        self._wake_up.set()
-
-    def send_session(self, transfer: SessionTransfer) -> None:
-        """Queues a transfer, which is settled when the other process accepts or refuses it, or has ended."""
-        if self._is_closed:
-            transfer.settle(False)
-            return
-        self._queued_transfers.append(transfer)
-        self._wake_up.set()
-
-    def settle(self, number: Any, is_accepted: bool) -> None:
-        transfer = self._in_flight.pop(number, None) if isinstance(number, int) else None
-        if transfer is not None:
-            transfer.settle(is_accepted)
-            self._wake_up.set()
-
-    async def write(self) -> None:
-        while True:
-            await self._wake_up.wait()
-            self._wake_up = anyio.Event()
-            lines, self._queued_lines = self._queued_lines, []
-            await self.link.write(b"".join(lines))
-            while self._queued_transfers and len(self._in_flight) < MAX_TRANSFERS_IN_FLIGHT:
-                transfer = self._queued_transfers.popleft()
-                self._last_number += 1
-                self._in_flight[self._last_number] = transfer
-                line = pack("session", {"number": self._last_number, "session": transfer.content})
-                await send_with_sockets(self.link, line, transfer.sockets)
-
-    def close(self) -> None:
-        self._is_closed = True
-        for transfer in (*self._in_flight.values(), *self._queued_transfers):
-            transfer.settle(False)
-        self.link.close()
-
-
 def _format_address(sock: socket.socket) -> str:
     return show_address(sock.getsockname()[:2])
-
-
-async def _read_line(link: Link) -> bytes | None:
-    while (line := link.take_line()) is None:
-        if not await link.fill():
-            return None
-    return line
--- a/sailrun/hot_restart/link.py
+++ b/sailrun/hot_restart/link.py
@@ -141,15 +141,16 @@
     await link.write(line[1:])
 
 
-def receive_with_sockets(sock: socket.socket, deadline: float) -> tuple[bytes, list[socket.socket]]:
-    """Receives the first line and its sockets. The other process must not send more until it has an answer.
+def receive_with_sockets(sock: socket.socket, deadline: float) -> tuple[bytes, list[socket.socket], bytes]:
+    """Receives the first line and its sockets; returns them and the start of the lines that follow, if any of
+    it was received. Those must have no sockets until the other process has an answer.
 
     Blocks: the process has nothing else to do yet. `deadline` is a time of the monotonic clock. Raises
     OSError if no complete line has arrived by then, and closes the sockets that were received.
     """
     line, sockets = bytearray(), list[socket.socket]()
     try:
-        while not line.endswith(b"\n"):
+        while b"\n" not in line:
             remaining_s = deadline - time.monotonic()
             if remaining_s <= 0 or len(line) > MAX_LINE_BYTES:
                 raise TimeoutError("no complete line before the deadline, or the line is too long")
@@ -166,7 +167,8 @@
         for received in sockets:
             received.close()
         raise
-    return bytes(line), sockets
+    end = line.index(b"\n") + 1
+    return bytes(line[:end]), sockets, bytes(line[end:])
 
 
 def _received_sockets(rights: Sequence[tuple[int, int, bytes]]) -> list[socket.socket]:
--- a/sailrun/node/core.py
+++ b/sailrun/node/core.py
@@ -27,7 +27,7 @@
 from sailrun.node.fleet_load import FleetLoadExchange
 from sailrun.node.form_server_monitor import FormServerMonitors
 from sailrun.node.form_server_supervisor import FormServerSupervisor
-from sailrun.node.operator_commands import OperatorCommands
+from sailrun.node.operator_commands import MirrorCommand, OperatorCommands
 from sailrun.node.outlier_gossip import OutlierGossip, OutlierReport
 from sailrun.node.ports import EventLog, HealthChecker, PeerTransport, ServiceDiscovery
 from sailrun.node.queries import Reply
@@ -173,12 +173,9 @@
         """
         self._backends.update(self._initial_list)
         if self._predecessor is not None:
-            for name in sorted(self._predecessor.excluded):
-                self._operator.apply_override(name, True)
+            self._operator.restore(self._predecessor.excluded, self._predecessor.is_draining)
             if self._predecessor.decisions is not None:
                 self._decisions.feed(self._predecessor.decisions)
-            if self._predecessor.is_draining:
-                self._operator.set_draining(True)
 
     def due_us(self) -> int:
         """Returns when the next iteration is due even if no command is posted, in Unix microseconds."""
@@ -371,20 +368,26 @@
     # ------------------------------------------------------------------ calls between two processes
 
     @property
-    def on_operator_command(self) -> Callable[[str, object], None]:
-        """Called with each operator command that the node's other process, if there is one, has to mirror."""
+    def on_operator_command(self) -> MirrorCommand:
+        """Called with each operator command that the node's other processes, if there are any, have to
+        mirror, in the order of their execution and before they are answered.
+        """
         return self._operator.mirror
 
     @on_operator_command.setter
-    def on_operator_command(self, mirror: Callable[[str, object], None]) -> None:
+    def on_operator_command(self, mirror: MirrorCommand) -> None:
         self._operator.mirror = mirror
 
-    def mirror_operator_command(self, command: str, content: object) -> None:
-        """Executes a command that the other process received and passed to its `on_operator_command`."""
-        self._queue.post(self._operator.apply_mirrored, command, content)
+    def mirror_operator_command(self, command: str, content: object, origin: object) -> None:
+        """Executes a command that another process received and passed to its `on_operator_command`. `origin`:
+        what it was received from.
+        """
+        self._queue.post(self._operator.apply_mirrored, command, content, origin)
 
     def snapshot_state(self, reply: Reply[NodeSnapshot]) -> None:
-        """Replies with the state for a successor, and transfers the slow-start allowance to it."""
+        """Replies with the state for a successor, and transfers the slow-start allowance to it. No command is
+        executed between the snapshot and the reply.
+        """
         self._queue.post(lambda: reply(self._snapshot_state()))
 
     def report_local_load(self, reply: Reply[ProcessLoad]) -> None:
--- a/sailrun/node/operator_commands.py
+++ b/sailrun/node/operator_commands.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Protocol
 
 from sailrun.decisions.events import ListKind, OperatorOverride
 from sailrun.node.backend_list import BackendList
@@ -21,8 +22,24 @@
     DRAIN = "drain"  # content: whether the node drains
 
 
+class MirrorCommand(Protocol):
+    """Passes a command that has changed the state to the other processes of this node."""
+
+    def __call__(self, command: str, content: object, origin: object | None) -> None:
+        """`origin`: what the command was received from, to which it must not go back; None: an operator."""
+        ...
+
+
+def _mirror_nowhere(command: str, content: object, origin: object | None) -> None:
+    pass
+
+
 class OperatorCommands:
-    """Executes commands, and mirrors each to the other process if two processes form this node."""
+    """Executes commands, and mirrors each to the other processes that form this node.
+
+    A command does not go back to the process that it came from: that process may have executed the next one
+    meanwhile, which the older one would undo.
+    """
 
     def __init__(
         self,
@@ -35,8 +52,7 @@
     ) -> None:
         self._backends, self._plans, self._shutdown = backends, plans, shutdown
         self._decisions, self._rebalancer, self._log = decisions, rebalancer, log
-        # Called with the name and the content of each command that changes the state.
-        self.mirror: Callable[[str, object], None] = lambda command, content: None
+        self.mirror: MirrorCommand = _mirror_nowhere
 
     def is_known(self, name: str) -> bool:
         """Returns whether a form server of this name was ever listed here or is excluded."""
@@ -49,16 +65,18 @@
         self.apply_override(name, is_excluded)
         return True
 
-    def apply_override(self, name: str, is_excluded: bool) -> None:
-        """Excludes a form server or puts it back, whether it is known or not; does nothing if the state does
-        not change.
+    def apply_override(self, name: str, is_excluded: bool, origin: object | None = None) -> None:
+        """Excludes a form server or puts it back, whether it is known or not, and mirrors the command; does
+        nothing if the state does not change.
         """
-        if is_excluded is self._backends.is_excluded(name):
-            return
+        if is_excluded is not self._backends.is_excluded(name):
+            self._change_override(name, is_excluded)
+            self.mirror(OperatorCommand.OVERRIDE, [name, is_excluded], origin)
+
+    def _change_override(self, name: str, is_excluded: bool) -> None:
         self._backends.set_excluded(name, is_excluded)
         self._log("by-hand", server=name, out=is_excluded)
         self._decisions.feed(OperatorOverride(server_number(name), is_excluded))
-        self.mirror(OperatorCommand.OVERRIDE, [name, is_excluded])
         form_server = self._backends.get(server_number(name))
         if form_server is not None:
             effective = self._backends.effective_backend(form_server)
@@ -66,18 +84,32 @@
 
     def set_draining(self, is_draining: bool) -> bool:
         """Begins or ends a drain of this node. This never fails; always returns True."""
+        self._apply_draining(is_draining, None)
+        return True
+
+    def _apply_draining(self, is_draining: bool, origin: object | None) -> None:
         if is_draining is not (ShutdownReason.DRAIN in self._plans):
-            self.mirror(OperatorCommand.DRAIN, is_draining)
+            self.mirror(OperatorCommand.DRAIN, is_draining, origin)
+        self._change_draining(is_draining)
+
+    def _change_draining(self, is_draining: bool) -> None:
         if is_draining:
             self._shutdown.begin(ShutdownReason.DRAIN)
         else:
             self._shutdown.end_drain()
-        return True
 
-    def apply_mirrored(self, command: str, content: object) -> None:
-        """Executes a command that the other process received; ignores content of an unknown form."""
+    def restore(self, excluded: Iterable[str], is_draining: bool) -> None:
+        """Restores the state of a predecessor, which has it already: nothing is mirrored."""
+        for name in sorted(excluded):
+            if not self._backends.is_excluded(name):
+                self._change_override(name, True)
+        if is_draining:
+            self._change_draining(True)
+
+    def apply_mirrored(self, command: str, content: object, origin: object) -> None:
+        """Executes a command that another process received; ignores content of an unknown form."""
         match command, content:
             case OperatorCommand.OVERRIDE, [str(name), bool(is_excluded)]:
-                self.apply_override(name, is_excluded)
+                self.apply_override(name, is_excluded, origin)
             case OperatorCommand.DRAIN, bool(is_draining):
-                self.set_draining(is_draining)
+                self._apply_draining(is_draining, origin)
