Part the AMQP front into modules of one job each

Cause: clients.py of 515 lines held the connection, its links, and the links to form servers. Change: form_server_link, client_link and request (the names on the wire) have modules of their own; no behaviour changes. The test that a changed name is found reads the names from where they stand now.

--- a/tests/test_external_names.py
+++ b/tests/test_external_names.py
@@ -18,7 +18,7 @@
 
 # By kind: a file, a name in it with the text around it, and the same text with the name changed.
 CHANGES = {
-    "amqp": ("sailrun/amqp/clients.py", '"sailrun:key"', '"sailrun:changed"'),
+    "amqp": ("sailrun/amqp/request.py", '"sailrun:key"', '"sailrun:changed"'),
     "argument": ("sailrun/control/cli.py", "def drain_on(node:", "def drain_on(changed:"),
     "binary-format": ("sailrun/storage/frames.py", '"<8sHHQ16sQ"', '"<8sHHQ16sI"'),
     "command": ("sailrun/control/cli.py", '"set-down"', '"changed"'),
