Let AMQP attempts whose link or connection has ended start and end without a fault

What was seen: one client that attached and detached valid links at full speed left lines `fault` in the log, 47 of them in 40 connections of five links.

Causes: the core starts an attempt of a session whose client left in the same turn; the link started a task in the task group of its ended connection, which raises. And an attempt that timed out in the step in which it had connected closed its connection before the task that reads from it ran.

Change: a link that has ended reports the attempt as not sent, as the text front does, and is not moved; the engine does not read a closed connection.

Evidence: both tests of test_amqp_limits.py fail with the program before and pass now.

--- a/sailrun/amqp/client_link.py
+++ b/sailrun/amqp/client_link.py
@@ -99,6 +99,10 @@
 
     def start_attempt(self, placement: Placement) -> None:
         """Starts an attempt; returns at once."""
+        assert self._session is not None
+        if self._ended:  # the client left while its request was in the node's queue
+            self._node.attempt_ended(self._session, placement, AttemptOutcome.NOT_SENT)
+            return
         self._client_connection.group.start_soon(
             self._node.barrier.run_task, "amqp-attempt", self._run_attempt, placement
         )
@@ -119,7 +123,7 @@
 
     def move(self) -> None:
         """Moves the client to another node: detaches the link once its transfers have their outcomes."""
-        if not self._moving:
+        if not self._moving and not self._ended:
             self._moving = True
             self._client_connection.group.start_soon(self._node.barrier.run_task, "amqp-move", self._move)
 
--- a/sailrun/amqp/clients.py
+++ b/sailrun/amqp/clients.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from typing import Any
 
 import anyio
@@ -31,7 +31,7 @@
         self, node: Node, connection: Connection, settings: AmqpSettings, pending: PendingConnections
     ) -> None:
         self.node, self.settings, self._pending = node, settings, pending
-        self.classes = {c.name for c in node.settings.classes}
+        self.classes: Container[str] = frozenset(c.name for c in node.settings.classes)
         self.engine = Engine(connection, settings, self._handle_event, is_server=True)
         self._links: dict[Any, ClientLink] = {}
         self._reason = "connection-lost"
--- a/sailrun/amqp/engine.py
+++ b/sailrun/amqp/engine.py
@@ -95,7 +95,7 @@
         self._connection.close()
 
     async def _read(self) -> None:
-        while await self._connection.fill():
+        while not self._connection.closed and await self._connection.fill():
             data = self._connection.take()
             while data:
                 capacity = self.transport.capacity()
