Limit the sessions, links and windows of an AMQP connection

What was seen (trials): 30,000 sessions of one connection took the process from 42 to 139 MB, 13,865 invalid attaches in 12 s from 42 to 96 MB, without end.

Cause: nothing limited what one client leaves open.

Change: channel-max 15; a session's window of two frames in place of 1 MiB; 64 KiB in place of 256 KiB unwritten per link; 64 invalid and 1,024 links that the client has not detached, and a limit for all connections together. Beyond them the connection is closed with amqp:resource-limit-exceeded, counted in rejected_inputs; proton has no handle-max, so links are counted here. A closed connection ends after 0.25 s even if its client reads nothing, and so does an idle one. Links are found by proton's object: one name on two sessions of a connection was one entry.

The two cases of test_a_connection_with_too_many_sessions_or_invalid_links_... fail with the program before and pass now.

--- a/sailrun/amqp/client_link.py
+++ b/sailrun/amqp/client_link.py
@@ -49,6 +49,10 @@
     classes: Container[str]
     group: TaskGroup
 
+    def on_invalid_link(self) -> None:
+        """A link that stated no valid request was detached."""
+        ...
+
 
 class ClientLink:
     """A link of a client's connection: the core's `SessionClient` for one form session."""
@@ -65,6 +69,7 @@
         self._progress_event = anyio.Event()
         self._moving = False
         self._ended = False
+        self.is_invalid = False  # it stated no valid request
 
     def request_session(self) -> None:
         """Reads the request from the attach and places it. An invalid one is detached with the reason. One
@@ -98,6 +103,8 @@
 
     def _reject_request(self, problem: str) -> None:
         self._node.input_rejected(InputSource.CLIENT)
+        self.is_invalid = True
+        self._client_connection.on_invalid_link()
         self._detach("bad-request", BAD_REQUEST, problem[:MAX_PROBLEM_CHARACTERS])
 
     # ------------------------------------------------------------------ commands of the core
@@ -193,6 +200,11 @@
         if self._session is not None:
             self._node.client_left(self._session)
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether this process has detached the link, or its client has left."""
+        return self._ended
+
     def is_established(self) -> bool:
         """Whether the session is established and is not being moved."""
         return self._form_server is not None and not self._moving and not self._ended
--- a/sailrun/amqp/clients.py
+++ b/sailrun/amqp/clients.py
@@ -11,11 +11,14 @@
 from anyio.abc import TaskGroup
 
 from sailrun.amqp.client_link import ClientLink
-from sailrun.amqp.engine import SESSION_WINDOW_BYTES, AmqpSettings, Engine
+from sailrun.amqp.engine import AmqpSettings, Engine
+from sailrun.amqp.limits import LinkLimits
+from sailrun.amqp.request import REFUSED
 from sailrun.connection import Connection
 from sailrun.front import FrontAcceptor, PendingConnections
 from sailrun.node.clock import log
 from sailrun.node.core import Node
+from sailrun.node.counters import InputSource
 
 SECOND = 1_000_000
 # How long a client may take to send its open frame before its connection is closed.
@@ -28,12 +31,18 @@
     group: TaskGroup
 
     def __init__(
-        self, node: Node, connection: Connection, settings: AmqpSettings, pending: PendingConnections
+        self,
+        node: Node,
+        connection: Connection,
+        settings: AmqpSettings,
+        pending: PendingConnections,
+        limits: LinkLimits,
     ) -> None:
-        self.node, self.settings, self._pending = node, settings, pending
+        self.node, self.settings, self._pending, self._limits = node, settings, pending, limits
         self.classes: Container[str] = frozenset(c.name for c in node.settings.classes)
         self.engine = Engine(connection, settings, self._handle_event, is_server=True)
-        self._links: dict[Any, ClientLink] = {}
+        self._links: dict[Any, ClientLink] = {}  # by proton's object, until the client has detached
+        self.invalid_link_count = 0
         self._reason = "connection-lost"
         self._opened = anyio.Event()
 
@@ -42,9 +51,11 @@
         began_us = self.node.clock.now_us()
         async with anyio.create_task_group() as self.group:
             self.group.start_soon(self._expect_open, began_us + OPEN_TIMEOUT_US)
+            self._limits.add(self)
             try:
                 await self.engine.run()
             finally:
+                self._limits.remove(self)
                 self._opened.set()
                 error = self.engine.error()
                 for link in list(self._links.values()):
@@ -61,6 +72,19 @@
         """Returns one function per established session that is not being moved yet; it moves the session."""
         return [link.move for link in self._links.values() if link.is_established()]
 
+    @property
+    def link_count(self) -> int:
+        """All links that the client has not detached."""
+        return len(self._links)
+
+    def count_ended_links(self) -> int:
+        """Counts the links among them that this process has detached."""
+        return sum(link.has_ended for link in self._links.values())
+
+    def on_invalid_link(self) -> None:
+        """A link that stated no valid request was detached."""
+        self.invalid_link_count += 1
+
     async def _expect_open(self, deadline_us: int) -> None:
         scope = anyio.CancelScope(deadline=self.node.clock.to_deadline(deadline_us))
         self._pending.add(scope)
@@ -79,13 +103,9 @@
             self._opened.set()
             self.engine.amqp_connection.open()
         elif kind == proton.Event.SESSION_REMOTE_OPEN:
-            event.session.incoming_capacity = SESSION_WINDOW_BYTES
-            event.session.open()
+            self.engine.open_session(event.session)
         elif kind == proton.Event.LINK_REMOTE_OPEN:
-            client_link = ClientLink(self, event.link)
-            self._links[event.link.name, event.link.is_sender] = client_link
-            if not self.node.barrier.run("amqp-attach", client_link.request_session):
-                client_link.fail()
+            self._accept_link(event.link)
         elif kind in (proton.Event.LINK_REMOTE_CLOSE, proton.Event.LINK_REMOTE_DETACH):
             self._remove_link(event.link)
         elif kind == proton.Event.SESSION_REMOTE_CLOSE:
@@ -103,12 +123,25 @@
         elif kind == proton.Event.DELIVERY and (delivery_link := self._find_link(event.link)) is not None:
             delivery_link.handle_delivery(event.delivery)
 
+    def _accept_link(self, link: Any) -> None:
+        client_link = self._links[link] = ClientLink(self, link)
+        if not self.node.barrier.run("amqp-attach", client_link.request_session):
+            client_link.fail()
+        self._limits.enforce(self)
+
+    def close_for_too_many_links(self) -> None:
+        """Closes the connection with the error that the specification has for it, and counts it."""
+        self.node.input_rejected(InputSource.CLIENT)
+        self._reason = REFUSED
+        self.engine.close_with_error(REFUSED, "too many links that were not detached")
+
     def _find_link(self, link: Any) -> ClientLink | None:
-        return self._links.get((link.name, link.is_sender))
+        return self._links.get(link)
 
     def _remove_link(self, link: Any) -> None:
-        ended_link = self._links.pop((link.name, link.is_sender), None)
+        ended_link = self._links.pop(link, None)
         if ended_link is not None:
+            self.invalid_link_count -= ended_link.is_invalid
             ended_link.client_left("household-left")
         if not link.state & proton.Endpoint.LOCAL_CLOSED:
             if link.state & proton.Endpoint.LOCAL_UNINIT:
@@ -122,9 +155,9 @@
     node: Node, listener: socket.socket, settings: AmqpSettings, descriptors: int
 ) -> FrontAcceptor:
     """Returns the acceptor of the AMQP front. `descriptors`: how many the process may open."""
-    pending = PendingConnections(descriptors)
+    pending, limits = PendingConnections(descriptors), LinkLimits(descriptors)
 
     def make_connection(sock: socket.socket) -> ClientConnection:
-        return ClientConnection(node, Connection(sock), settings, pending)
+        return ClientConnection(node, Connection(sock), settings, pending, limits)
 
     return FrontAcceptor(listener, "amqp", make_connection, pending, node.barrier)
--- a/sailrun/amqp/engine.py
+++ b/sailrun/amqp/engine.py
@@ -10,12 +10,13 @@
 import anyio
 import proton
 
+from sailrun.amqp.limits import CHANNEL_MAX, session_window_bytes
 from sailrun.connection import Connection
 
-# How many bytes one AMQP session may buffer unread before its sender has to wait.
-SESSION_WINDOW_BYTES = 1024 * 1024
 # How many bytes are written to a socket or read from a transfer at once.
 CHUNK_BYTES = 64 * 1024
+# After an error, the other side's input is discarded for this long, so that it gets the close frame.
+ERROR_LINGER_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +47,7 @@
         self._handler = handler
         self.transport = proton.Transport(proton.Transport.SERVER if is_server else proton.Transport.CLIENT)
         self.transport.max_frame_size = settings.max_frame_size
+        self.transport.channel_max = CHANNEL_MAX
         self.transport.idle_timeout = settings.idle_time_out_ms / 1000
         if is_server:
             self.transport.sasl().allowed_mechs("ANONYMOUS")
@@ -57,6 +59,8 @@
         self._output_event = anyio.Event()
         self._dispatching = False
         self.on_sent: Callable[[], None] | None = None  # called whenever output has gone out
+        self._session_window_bytes = session_window_bytes(settings.max_frame_size)
+        self._read_scope = anyio.CancelScope()
         self.input_ended = False  # no more bytes will be read
         self.broken = False  # the connection broke, or the other side reset it
 
@@ -74,7 +78,8 @@
 
     def error(self) -> str | None:
         """Returns the name of the error condition that ended this connection, if there is one."""
-        condition = self.transport.condition or self.amqp_connection.remote_condition
+        connection = self.amqp_connection
+        condition = self.transport.condition or connection.remote_condition or connection.condition
         return str(condition.name) if condition is not None else None
 
     async def run(self) -> None:
@@ -85,6 +90,9 @@
                 group.start_soon(self._run_idle_timer)
                 await self._write()
                 group.cancel_scope.cancel()
+            if self._read_scope.cancel_called:
+                with anyio.move_on_after(ERROR_LINGER_S):
+                    await self._connection.finish_sending()
         except* (OSError, anyio.ClosedResourceError):
             self.broken = True
         finally:
@@ -94,14 +102,41 @@
         """Whether the other side has closed the TCP connection, even if frames before that are unread."""
         return self._connection.other_side_has_ended()
 
+    def open_session(self, session: Any) -> None:
+        """Opens a session of this connection with its window."""
+        session.incoming_capacity = self._session_window_bytes
+        session.open()
+
+    def close_with_error(self, condition: str, description: str) -> None:
+        """Ends the connection with an error; nothing more is read."""
+        self.amqp_connection.condition = proton.Condition(condition, description)
+        self.amqp_connection.close()
+        self._read_scope.cancel()
+        self._output_event.set()
+
     def abandon(self) -> None:
         """Closes the TCP connection at once, without AMQP's close."""
         self._connection.close()
 
     async def _read(self) -> None:
+        with self._read_scope:
+            await self._read_frames()
+        if not self._read_scope.cancel_called:
+            self.transport.close_tail()
+        self.input_ended = True
+        self.dispatch_events()
+        if self._read_scope.cancel_called:
+            await self._abandon_after_linger()
+
+    async def _abandon_after_linger(self) -> None:
+        """Ends the connection even if the other side does not read the close frame."""
+        await anyio.sleep(ERROR_LINGER_S)
+        self.abandon()
+
+    async def _read_frames(self) -> None:
         while not self._connection.closed and await self._connection.fill():
             data = self._connection.take()
-            while data:
+            while data and not self._read_scope.cancel_called:
                 capacity = self.transport.capacity()
                 if capacity <= 0:
                     break
@@ -119,9 +154,6 @@
                         "amqp:decode-error", "a frame does not decode"
                     )
                 break
-        self.transport.close_tail()
-        self.input_ended = True
-        self.dispatch_events()
 
     async def _write(self) -> None:
         while (pending := self.transport.pending()) >= 0:
@@ -143,6 +175,9 @@
         while True:
             next_tick_at = self.transport.tick(time.monotonic())
             self.dispatch_events()
+            if self.transport.condition is not None:
+                await self._abandon_after_linger()
+                return
             now = time.monotonic()
             wake_at = min(next_tick_at, now + 1.0) if next_tick_at else now + 1.0
             await anyio.sleep_until(anyio.current_time() + max(0.01, wake_at - now))
--- a/sailrun/amqp/form_server_link.py
+++ b/sailrun/amqp/form_server_link.py
@@ -8,7 +8,7 @@
 import anyio
 import proton
 
-from sailrun.amqp.engine import SESSION_WINDOW_BYTES, AmqpSettings, Engine
+from sailrun.amqp.engine import AmqpSettings, Engine
 from sailrun.amqp.request import MOVED, NO_TERMINUS, REFUSED, TIME_LEFT
 from sailrun.amqp.transfer_relay import TransferRelay
 from sailrun.connection import Connection
@@ -35,8 +35,7 @@
         """Requests the session with the client's attach, in which only the time left is replaced."""
         self.engine.amqp_connection.open()
         session = self.engine.amqp_connection.session()
-        session.incoming_capacity = SESSION_WINDOW_BYTES
-        session.open()
+        self.engine.open_session(session)
         # If the client sends, this node receives on the client's link and sends on the form server's.
         self.link = (session.sender if client_link.is_receiver else session.receiver)(client_link.name)
         self.link.source.copy(client_link.remote_source)
--- a/sailrun/amqp/transfer_relay.py
+++ b/sailrun/amqp/transfer_relay.py
@@ -9,7 +9,7 @@
 from sailrun.amqp.engine import CHUNK_BYTES, Engine
 
 # How many bytes may wait to be written to the receiving side before no more are read from the sending side.
-MAX_PENDING_BYTES = 256 * 1024
+MAX_PENDING_BYTES = 64 * 1024
 
 
 class TransferRelay:
--- a/tests/test_amqp_limits.py
+++ b/tests/test_amqp_limits.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
+import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
 import anyio
 import proton
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from sailrun.amqp.engine import AmqpSettings, Engine
+from sailrun.amqp.limits import MAX_INVALID_LINKS, MAX_LINKS_PER_CONNECTION, LinkLimits, session_window_bytes
 from sailrun.connection import Connection
 from tests.amqp_stand_ins import REQUEST, AmqpConnection, AmqpFormServer
 from tests.stand_ins import TIMEOUT_S, RegistryStandIn, RunningNode, connect, sidecar
@@ -123,3 +128,140 @@
         other.close()
 
     anyio.run(run)
+
+
+def resident_bytes(running: RunningNode) -> int:
+    status = Path(f"/proc/{running.process.pid}/status").read_text()
+    (peak,) = (int(line.split()[1]) for line in status.splitlines() if line.startswith("VmHWM"))
+    return peak * 1024
+
+
+def send_in_background(client: AmqpConnection, output: bytes) -> threading.Thread:
+    def send() -> None:
+        with contextlib.suppress(OSError):  # the node has closed the connection
+            client.sock.sendall(output)
+
+    thread = threading.Thread(target=send)
+    thread.start()
+    return thread
+
+
+def read_to_end(client: AmqpConnection) -> tuple[bytes, bool]:
+    """Returns what the node sends until it ends the connection, and whether it ended with a reset."""
+    client.sock.settimeout(TIMEOUT_S)
+    received = b""
+    try:
+        while data := client.sock.recv(65536):
+            received += data
+    except ConnectionError:
+        return received, True
+    return received, False
+
+
+def answer_time_s(running: RunningNode, name: str) -> float:
+    began = time.monotonic()
+    other = AmqpConnection(connect(running.amqp))
+    link = other.open_link(name=name)
+    other.wait_until(lambda: link.state & proton.Endpoint.REMOTE_ACTIVE)
+    other.sock.close()
+    return time.monotonic() - began
+
+
+def begin_many_sessions(client: AmqpConnection) -> None:
+    client.amqp_connection.open()
+    for _ in range(20_000):
+        client.amqp_connection.session().open()
+
+
+def attach_many_invalid_links(client: AmqpConnection) -> None:
+    session = begin_session(client)
+    for n in range(10_000):
+        session.sender(f"link-{n}").open()
+
+
+@pytest.mark.parametrize(
+    ("overload", "error"),
+    [
+        (begin_many_sessions, b"amqp:connection:framing-error"),
+        (attach_many_invalid_links, b"amqp:resource-limit-exceeded"),
+    ],
+)
+def test_a_connection_with_too_many_sessions_or_invalid_links_is_closed_with_its_error(
+    running: RunningNode, overload: Callable[[AmqpConnection], None], error: bytes
+) -> None:
+    # Guards against one connection that takes memory without end: sessions, or invalid links, under ever new
+    # names, without reading what it is sent.
+    answer_time_s(running, "first")
+    before = resident_bytes(running)
+    client = AmqpConnection(connect(running.amqp))
+    overload(client)
+    thread = send_in_background(client, take_output(client))
+    assert answer_time_s(running, "other") < 1.0
+    received, is_reset = read_to_end(client)
+    thread.join()
+    client.sock.close()
+    assert error in received or is_reset  # a reset overtakes the close frame if much is unread
+    running.logged("connection-ended", f"reason={error.decode()}")
+    assert resident_bytes(running) - before < 8 * 2**20
+    answer_time_s(running, "last")
+
+
+def test_a_client_that_detaches_its_invalid_links_is_not_disconnected(running: RunningNode) -> None:
+    client = AmqpConnection(connect(running.amqp))
+    session = begin_session(client)
+    for n in range(4 * MAX_INVALID_LINKS):
+        link = session.sender(f"link-{n}")
+        link.open()
+        assert client.wait_for_detach(link).name == "amqp:invalid-field"
+        link.close()
+        link.free()
+    assert running.read_metrics()["rejected_inputs.client"] == 4 * MAX_INVALID_LINKS
+    valid = client.open_link()
+    client.wait_until(lambda: valid.state & proton.Endpoint.REMOTE_ACTIVE)
+
+
+class CountedConnection:
+    """A connection of `LinkLimits` with this many links, of which `ended` were detached by the node."""
+
+    invalid_link_count = 0
+
+    def __init__(self, links: int, ended: int) -> None:
+        self.link_count, self.ended, self.is_closed = links, ended, False
+
+    def count_ended_links(self) -> int:
+        return self.ended
+
+    def close_for_too_many_links(self) -> None:
+        self.is_closed = True
+
+
+def test_with_too_many_links_in_all_the_connection_that_leaves_most_undetached_is_closed() -> None:
+    limits = LinkLimits(descriptors=1024)
+    connections = [CountedConnection(900, 3), CountedConnection(200, 200), CountedConnection(948, 0)]
+    for connection in connections:
+        limits.add(connection)
+    limits.enforce(connections[2])
+    assert not any(connection.is_closed for connection in connections)
+    connections[2].link_count += 1
+    limits.enforce(connections[2])
+    assert [connection.is_closed for connection in connections] == [False, True, False]
+    connections[2].link_count = MAX_LINKS_PER_CONNECTION + 1
+    limits.enforce(connections[2])
+    assert connections[2].is_closed
+
+
+@given(st.integers(512, 2**24))
+def test_a_sessions_window_holds_a_frame_and_not_much_more(max_frame_size: int) -> None:
+    # Guards against a form server that does not read leaving a megabyte of each of its clients in memory.
+    assert max_frame_size <= session_window_bytes(max_frame_size) <= max(64 * 1024, 2 * max_frame_size)
+
+
+def test_a_client_that_reads_nothing_is_disconnected_for_too_many_invalid_links(running: RunningNode) -> None:
+    # Guards against a connection that stays open because its client does not read the close frame.
+    client = AmqpConnection(connect(running.amqp))
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    attach_many_invalid_links(client)
+    with contextlib.suppress(OSError):
+        client.sock.sendall(take_output(client))
+    running.logged("connection-ended", "reason=amqp:resource-limit-exceeded")
+    client.sock.close()
