Do not forward an id again while its request may run, also across a hot restart

Cause: the front knew the ids of open connections alone, but closing an attempt does not end the work of a form server; and a new process knew no ids.

Ids go with the state, taken in the step that registers the channel, and changes follow on it in both directions. A repeat is answered ERR and counted in rejected_inputs.

--- a/sailrun/hot_restart/handover.py
+++ b/sailrun/hot_restart/handover.py
@@ -29,15 +29,18 @@
     InvalidHandoverError,
     pack,
     read_process_load,
+    read_request_id,
     read_state,
     unpack,
     write_process_load,
+    write_request_id,
     write_state,
 )
 from sailrun.hot_restart.succession import Succession
 from sailrun.node.clock import log
 from sailrun.node.core import Node
 from sailrun.node.queries import Reply, send_query
+from sailrun.node.request_ids import RequestIds
 from sailrun.node.restart_state import NodeSnapshot
 from sailrun.node.shutdown import ShutdownReason
 
@@ -49,6 +52,10 @@
 LOAD_REPORT_INTERVAL_US = SECOND // 4
 # A connection without a request is closed after this time.
 REQUEST_TIMEOUT_US = 2 * SECOND
+# The messages about ids of requests: a change of one, and that the predecessor accepts no more clients.
+ID_KIND, ACCEPTING_STOPPED_KIND = "request-id", "accepting-stopped"
+# How long an id stays blocked that was in use in a process that has ended without releasing it.
+UNSETTLED_ID_US = 10 * SECOND
 # The least number of descriptors that a successor may open, however many its predecessor has open.
 MIN_DESCRIPTORS = 64
 
@@ -60,6 +67,8 @@
     link: Link
     state: NodeSnapshot | None  # None: the received state was not usable
     sockets: dict[str, socket.socket] = field(default_factory=dict)
+    # The ids that the predecessor blocks, and until when, in Unix microseconds; infinity: in use.
+    request_ids: list[tuple[str, float]] = field(default_factory=list)
 
     def socket_for(self, key: str, address: tuple[str, int]) -> socket.socket | None:
         """Returns the socket with this key if it is bound to the address; the caller then owns it."""
@@ -93,18 +102,19 @@
                 continue
             log("predecessor-silent", error=str(error))
             return None
-        keys, state = list[str](), None
+        keys, state, ids = list[str](), None, list[tuple[str, float]]()
         try:
             _, content = unpack(line)
             keys = [str(key) for key in content["sockets"]]
             state = read_state(content["state"])
+            ids = [read_request_id(blocked_id) for blocked_id in content.get("ids", [])]
         except (InvalidHandoverError, KeyError, TypeError) as error:
             log("passage-dropped", why=str(error))
         if len(keys) != len(sockets):
             keys = [f"unknown {n}" for n in range(len(sockets))]
         link = Link(sock)
         link.restore(following)
-        return Inherited(link, state, dict(zip(keys, sockets, strict=True)))
+        return Inherited(link, state, dict(zip(keys, sockets, strict=True)), ids)
     return None
 
 
@@ -120,11 +130,13 @@
         set_paused: Callable[[bool], None],
         inherited: Inherited | None,
         adopt: Callable[[Any, Sequence[socket.socket]], None],
+        request_ids: RequestIds,
     ) -> None:
         """`name`: the identity that the node keeps when its process is replaced. `descriptors`: the node's
         limit of open descriptors. `get_sockets`: returns the sockets that are passed to a successor, by key.
         `set_paused`: True stops accepting at these sockets, so that only the successor accepts; False resumes
-        it. `adopt`: takes over an established session, or raises ValueError.
+        it. `adopt`: takes over an established session, or raises ValueError. `request_ids`: those of the
+        front whose sessions are adopted.
         """
         self._node, self._name, self._max_descriptors = node, name, max_descriptors
         self._get_sockets, self._set_paused, self._inherited, self._adopt = (
@@ -138,11 +150,14 @@
         self._channels: set[Channel] = set()
         self._predecessor_descriptors = 0  # descriptors that the predecessor has open, as last reported
         node.on_operator_command = self._forward_operator_command
+        self._request_ids = request_ids
+        request_ids.on_change = self._forward_id_change
         self._predecessor_channel: Channel | None = None
         if inherited is not None:
             # Registered before the node executes its first command.
             self._predecessor_channel = Channel(inherited.link)
             self._channels.add(self._predecessor_channel)
+            request_ids.restore(inherited.request_ids)
 
     async def run(self) -> None:
         """Runs until cancelled. A successor first notifies its predecessor, which then stops accepting.
@@ -179,6 +194,17 @@
             if channel is not origin:
                 channel.send_message(command, content)
 
+    def _forward_id_change(self, id_: str, blocked_until_us: float) -> None:
+        for channel in self._channels:
+            channel.send_message(ID_KIND, write_request_id(id_, blocked_until_us))
+
+    def _handle_common_message(self, channel: Channel, kind: str, content: Any) -> None:
+        """Handles a message that either process may send."""
+        if kind == ID_KIND:
+            self._request_ids.apply_change(*read_request_id(content))
+        else:
+            self._node.mirror_operator_command(kind, content, channel)
+
     async def _run_channel(
         self, channel: Channel, handle_message: Callable[[Channel, str, Any, TaskGroup], None]
     ) -> None:
@@ -211,8 +237,10 @@
                 self._node.update_predecessor_load(load)
             elif kind == "session":
                 self._receive_session(channel, content)
+            elif kind == ACCEPTING_STOPPED_KIND:
+                self._request_ids.mark_current()
             else:
-                self._node.mirror_operator_command(kind, content, channel)
+                self._handle_common_message(channel, kind, content)
 
         channel.send_message("took", None)
         try:
@@ -220,8 +248,12 @@
         finally:
             self._limit_descriptors(0)
             self._node.update_predecessor_load(None)
+            self._forget_other_process()
         log("predecessor-ended")
 
+    def _forget_other_process(self) -> None:
+        self._request_ids.on_other_process_ended(self._node.clock.now_us() + UNSETTLED_ID_US)
+
     def _receive_session(self, channel: Channel, content: Any) -> None:
         """Takes over an established session, which this process owns once it has sent `adopted`."""
         sockets = channel.link.take_sockets()
@@ -266,9 +298,9 @@
             return
         channel = Channel(link)
         try:
-            state = await send_query(partial(self._snapshot_for, channel))
+            snapshot = await send_query(partial(self._snapshot_for, channel))
             sockets = dict(list(self._get_sockets().items())[:MAX_SOCKETS])
-            content = {"sockets": list(sockets), "state": write_state(state)}
+            content = {"sockets": list(sockets), **snapshot}
             await send_with_sockets(link, pack("state", content), list(sockets.values()))
             log("handed-over", sockets=",".join(f"{k}={_format_address(s)}" for k, s in sockets.items()))
             await self._run_channel(channel, self._handle_successor_message)
@@ -276,18 +308,20 @@
             log("successor-unreached", error=str(error))
         finally:
             self._close_channel(channel)
+            self._forget_other_process()
             if self._succession.on_disconnected(ShutdownReason.RESTART in self._node.shutdown):
                 self._node.set_successor(None)
                 self._set_paused(False)
 
-    def _snapshot_for(self, channel: Channel, reply: Reply[NodeSnapshot]) -> None:
-        """Takes the snapshot for a successor and registers its channel before the next command is executed:
-        each command is in the snapshot or follows it on the channel, and none is both.
+    def _snapshot_for(self, channel: Channel, reply: Reply[dict[str, Any]]) -> None:
+        """Takes the snapshot for a successor and registers its channel before the next command is executed or
+        request id taken: each is in the snapshot or follows it on the channel, and none is both.
         """
 
         def register(state: NodeSnapshot) -> None:
+            ids = [write_request_id(*blocked_id) for blocked_id in self._request_ids.snapshot()]
             self._channels.add(channel)
-            reply(state)
+            reply({"state": write_state(state), "ids": ids})
 
         self._node.snapshot_state(register)
 
@@ -295,9 +329,10 @@
         if kind in ("adopted", "refused"):
             channel.settle(content, kind == "adopted")
         elif kind != "took":
-            self._node.mirror_operator_command(kind, content, channel)
+            self._handle_common_message(channel, kind, content)
         elif self._succession.on_accepted():
             self._set_paused(True)
+            channel.send_message(ACCEPTING_STOPPED_KIND, None)
             self._node.set_successor(channel.send_session)
             group.start_soon(self._report_load, channel)
 
--- a/sailrun/hot_restart/state.py
+++ b/sailrun/hot_restart/state.py
@@ -171,3 +171,18 @@
         return ProcessLoad(loads, connections, content["told"] is True, descriptors)
     except (KeyError, TypeError, ValueError, OverflowError) as error:
         raise InvalidHandoverError(f"malformed load: {error!r}") from None
+
+
+def write_request_id(id_: str, blocked_until_us: float) -> list[Any]:
+    """Returns an id and until when it is blocked as the content of a line; infinity is null."""
+    return [id_, _finite_or_none(blocked_until_us)]
+
+
+def read_request_id(content: Any) -> tuple[str, float]:
+    """Reads what `write_request_id` wrote. Raises InvalidHandoverError."""
+    match content:
+        case [str(id_), None]:
+            return id_, math.inf
+        case [str(id_), int(blocked_until_us)]:
+            return id_, blocked_until_us
+    raise InvalidHandoverError(f"malformed request id: {content!r:.100}")
--- a/sailrun/serve.py
+++ b/sailrun/serve.py
@@ -265,6 +265,7 @@
                 self._set_paused,
                 self._inherited,
                 self._adopt,
+                self._client_front.request_ids,
             )
             group.start_soon(self.node.barrier.run_task, "handover", handover.run)
 
--- a/sailrun/text_protocol/clients.py
+++ b/sailrun/text_protocol/clients.py
@@ -14,10 +14,12 @@
 from sailrun.connection import Connection, OutOfDescriptorsError, OverlongLineError, connect
 from sailrun.decisions.events import AttemptOutcome, BackendState
 from sailrun.decisions.load_range import LoadOutOfRangeError
+from sailrun.decisions.settings import Effect
 from sailrun.front import FrontAcceptor, PendingConnections
 from sailrun.node.clock import log
 from sailrun.node.core import Node
 from sailrun.node.counters import InputSource
+from sailrun.node.request_ids import RequestIds
 from sailrun.node.session import FormServer, FormSession, Placement
 from sailrun.node.session_transfer import SendTransfer, SessionTransfer
 from sailrun.text_protocol.lines import (
@@ -45,6 +47,8 @@
 # After the last answer, input from the other side is read and discarded for this long: closing a socket with
 # unread input would reset the connection, and the other side could lose the answer.
 LINGER_US = SECOND // 4
+# The id of a request that is not idempotent stays blocked for this long after the request's deadline.
+REPEAT_MEMORY_US = 600 * SECOND
 # The number of a client's unanswered lines whose send times are recorded; bounds the memory for a client that
 # sends thousands of lines.
 MAX_TIMED_LINES = 64
@@ -63,8 +67,10 @@
         # The lowest delay that form servers report, and the classifiers of their LOAD lines, by name.
         self.min_delay_ms = node.reported_delay_threshold_ms
         self.load_classifiers: dict[str, LoadLineClassifier[ClientConnection]] = {}
-        # The ids in use. A second connection with the same id would duplicate that request.
-        self.ids_in_use: set[str] = set()
+        self.request_ids = RequestIds(node.clock)
+        self._idempotent_classes = frozenset(
+            c.name for c in node.settings.classes if c.effect is Effect.IDEMPOTENT
+        )
         self._servers_with_rejected_load: set[str | None] = set()
 
     def adopt(self, content: Any, sockets: Sequence[socket.socket]) -> ClientConnection:
@@ -78,6 +84,16 @@
             self._servers_with_rejected_load.add(server_name)
             log("load-rejected", server=server_name, why=f"the load {error}")
 
+    def blocks_id_until_us(self, session: FormSession, was_established: bool) -> int:
+        """Returns until when the id of a request that may have run must not be used again.
+
+        Until its deadline, the form server may be at work on a request that it has not answered. A request
+        that is not idempotent must not run again after that either.
+        """
+        if session.request_class not in self._idempotent_classes:
+            return max(session.deadline_us, self.node.clock.now_us()) + REPEAT_MEMORY_US
+        return 0 if was_established else session.deadline_us
+
     def create_acceptor(self, listener: socket.socket) -> FrontAcceptor:
         """Creates the acceptor of clients of the text protocol."""
 
@@ -115,6 +131,7 @@
         self._previous_load: float | None = None
         self._moving_since_us = 0
         self._answered = self._sent_too_early = False
+        self._may_have_run = False  # a form server may have got the request
         self._reason = "unknown"
         self._broken = False
         # Only for established sessions: the function that sends the session to a successor; the scope in
@@ -134,10 +151,10 @@
         transferred = TransferredSession.from_content(content, front.classes)
         client, server = sockets
         request = transferred.request
-        if request.id in front.ids_in_use:
+        if not front.request_ids.adopt(request.id):
             raise ValueError("the id of the transferred session is already in use")
         self = cls(front, Connection(client))
-        self._take_id(request.id)
+        self._id = request.id
         self._client.restore(transferred.client_input)
         self._form_server = Connection(server)
         self._form_server.restore(transferred.withheld_part)
@@ -270,10 +287,15 @@
     def _release(self) -> None:
         """Releases the id and notifies the node that the client has left."""
         if self._id is not None and self._session is not None:
-            self._front.ids_in_use.discard(self._id)
+            self._front.request_ids.release(self._id, self._id_blocked_until_us(self._session))
             self._id = None
             self._node.client_left(self._session)
 
+    def _id_blocked_until_us(self, session: FormSession) -> int:
+        if not self._may_have_run or self._reason == "handed-over":
+            return 0
+        return self._front.blocks_id_until_us(session, self._form_server is not None)
+
     async def _receive_request(self, deadline_us: int) -> bool:
         """Reads the first line and requests a form session from the node; returns False if there is no valid
         request.
@@ -288,23 +310,21 @@
             self._node.input_rejected(InputSource.CLIENT)
             await self._reject_input(f"bad-first-line:{error}")
             return False
-        if request.id in self._front.ids_in_use:
-            await self._reject_input("id-in-use")
-            return False
         if self._client.buffered():
             await self._reject_input("spoke-too-soon")
             return False
-        self._take_id(request.id)
+        await self._front.request_ids.wait_until_current()
+        if not self._front.request_ids.reserve(request.id):
+            self._node.input_rejected(InputSource.CLIENT)
+            await self._reject_input("id-in-use")
+            return False
+        self._id = request.id
         # The session id is unique in this process even if a client uses its id again.
         self._session = self._make_session(request, f"{request.id}.{now_us}", now_us + request.wait_ms * 1000)
         self._reason = "unknown"
         self._node.request_session(self._session)
         return True
 
-    def _take_id(self, id_: str) -> None:
-        self._front.ids_in_use.add(id_)
-        self._id = id_
-
     def _make_session(self, request: OpenRequest, id_: str, deadline_us: int) -> FormSession:
         return FormSession(
             id=id_,
@@ -528,42 +548,16 @@
         """Opens a connection to the form server and requests the session. Unless the form server answers UP,
         the connection is closed on return.
         """
-        assert self._request is not None and self._session is not None
         connect_by_us = min(placement.until_us, sent_us + self._node.settings.connect_timeout_us)
         server: Connection | None = None
-        sent = False
         try:
             with anyio.CancelScope(deadline=self._node.clock.to_deadline(connect_by_us)):
                 server = await connect(placement.form_server.address)
             if server is None:
                 return None, AttemptOutcome.CONNECT_FAILED
-            if self._client.is_readable():  # it has left, and nobody awaits the answer
-                return None, AttemptOutcome.CANCELLED
-            if not self._node.may_begin(self._session, placement):
-                return None, AttemptOutcome.NOT_SENT
-            wait_ms = max(1, (placement.until_us - self._node.clock.now_us()) // 1000)
-            await server.write(self._request.for_form_server(wait_ms))
-            sent = True
-            self._node.request_written()
-            line = await server.line()
-            if line is None:
-                server.close()
-                return None, AttemptOutcome.RESET
-            outcome = ANSWER_OUTCOMES.get(first_word(line), AttemptOutcome.ERROR)
-            is_up = first_word(line) == b"UP"
-            if is_up or outcome is AttemptOutcome.OK:
-                self._answered = True
-                try:
-                    await self._client.write(line)
-                except OSError:
-                    # The client's connection broke; this must not count as a fault of the form server.
-                    self._reason, self._broken = "household-broke", True
-                    return None, AttemptOutcome.CANCELLED
-                self._reason = "served"
-            if is_up:
-                established, server = server, None
-                return established, AttemptOutcome.OK
-            return None, outcome
+            outcome = self._find_obstacle(placement) or await self._request_session(server, placement)
+            established, server = (server, None) if outcome is None else (None, server)
+            return established, outcome or AttemptOutcome.OK
         except OutOfDescriptorsError:
             log("out-of-descriptors", doing="connect")
             self._front.waiting.evict_oldest()
@@ -571,11 +565,56 @@
         except OverlongLineError:
             return None, AttemptOutcome.ERROR
         except OSError:
-            return None, AttemptOutcome.RESET if sent else AttemptOutcome.CONNECT_FAILED
+            return None, AttemptOutcome.CONNECT_FAILED
         finally:
             if server is not None:
                 server.close()
 
+    def _find_obstacle(self, placement: Placement) -> AttemptOutcome | None:
+        """Returns the outcome of an attempt that must not be made any more; None for any other."""
+        assert self._session is not None
+        if self._client.is_readable():  # it has left, and nobody awaits the answer
+            return AttemptOutcome.CANCELLED
+        if not self._node.may_begin(self._session, placement):
+            return AttemptOutcome.NOT_SENT
+        return None
+
+    async def _request_session(self, server: Connection, placement: Placement) -> AttemptOutcome | None:
+        """Forwards the request and its answer; returns None if the session is established, and else the
+        attempt's outcome. Raises OSError if the connection breaks before the request is written.
+        """
+        assert self._request is not None
+        wait_ms = max(1, (placement.until_us - self._node.clock.now_us()) // 1000)
+        await server.write(self._request.for_form_server(wait_ms))
+        may_have_run_before, self._may_have_run = self._may_have_run, True
+        self._node.request_written()
+        try:
+            line = await server.line()
+        except OSError:
+            line = None
+        if line is None:
+            server.close()
+            return AttemptOutcome.RESET
+        outcome = ANSWER_OUTCOMES.get(first_word(line), AttemptOutcome.ERROR)
+        if outcome is AttemptOutcome.REJECTED:
+            self._may_have_run = may_have_run_before
+        is_up = first_word(line) == b"UP"
+        if not is_up and outcome is not AttemptOutcome.OK:
+            return outcome
+        return await self._forward_answer(line) or (None if is_up else outcome)
+
+    async def _forward_answer(self, line: bytes) -> AttemptOutcome | None:
+        """Forwards the form server's answer to the client; returns an outcome if the client is gone."""
+        self._answered = True
+        try:
+            await self._client.write(line)
+        except OSError:
+            # The client's connection broke; this must not count as a fault of the form server.
+            self._reason, self._broken = "household-broke", True
+            return AttemptOutcome.CANCELLED
+        self._reason = "served"
+        return None
+
     async def _run_session(self, server: Connection) -> AttemptOutcome:
         """Forwards input from the client at once, and complete lines from the form server, until the session
         ends; returns how it ended.
--- a/tests/test_mirrored_commands.py
+++ b/tests/test_mirrored_commands.py
@@ -24,6 +24,7 @@
 from sailrun.lab.scheduler import BEGIN_US, Scheduler, VirtualClock
 from sailrun.node.core import Node
 from sailrun.node.operator_commands import OperatorCommand
+from sailrun.node.request_ids import RequestIds
 from sailrun.node.restart_state import NodeSnapshot
 from sailrun.node.session import FormServer as ListedFormServer
 from sailrun.node.session import ServerListUpdate
@@ -50,7 +51,8 @@
 
 
 def make_handover(node_: Node) -> Handover:
-    return Handover(node_, "n1", 1024, dict, lambda _paused: None, None, lambda _content, _sockets: None)
+    ids = RequestIds(node_.clock)
+    return Handover(node_, "n1", 1024, dict, lambda _paused: None, None, lambda _content, _sockets: None, ids)
 
 
 def make_call(node_: Node, call: tuple[str, str, bool], answers: list[bool]) -> None:
@@ -95,7 +97,7 @@
     after: list[list[tuple[str, str, bool]]],
 ) -> None:
     # Guards against a command being lost that is executed in the turn in which the state is taken.
-    predecessor, answers, snapshots = make_node(), list[bool](), list[NodeSnapshot]()
+    predecessor, answers, snapshots = make_node(), list[bool](), list[dict[str, Any]]()
     handover = make_handover(predecessor)
     own, other = socket.socketpair()
     channel = Channel(Link(own))
@@ -112,7 +114,7 @@
         run_turn(predecessor)
     assert all(answers)
 
-    successor = make_node(read_state(write_state(snapshots[0])))
+    successor = make_node(read_state(snapshots[0]["state"]))
     state, changes = state_of(successor), []
     for command, name, is_on in (*same_turn_after, *(call for turn in after for call in turn)):
         excluded, is_draining = state
--- a/tests/test_partial_lines.py
+++ b/tests/test_partial_lines.py
@@ -18,6 +18,7 @@
 
 from sailrun.node.clock import Clock
 from sailrun.node.core import Node
+from sailrun.node.request_ids import RequestIds
 from sailrun.text_protocol import clients as clients_module
 from sailrun.text_protocol.clients import ClientConnection, ClientFront
 from sailrun.text_protocol.lines import parse_open_request
@@ -128,7 +129,8 @@
         groups=False,
         classes={"page-load"},
         waiting=waiting,
-        ids_in_use=set(),
+        request_ids=RequestIds(Clock()),
+        blocks_id_until_us=lambda _session, _was_established: 0,
         min_delay_ms=0.0,
         load_classifiers={},
     )
