End a client's connection whose form server answered BYE at once

What callers saw: BYE, and a connection that stayed open until they ended it.

Cause: the loop over the core's commands ended only after an answer of the node's own or an established session. With BYE as the first answer the request is over, and no further command comes.

Change: the loop ends once the client has its final answer.

--- a/sailrun/text_protocol/clients.py
+++ b/sailrun/text_protocol/clients.py
@@ -451,7 +451,9 @@
                 await self._client.write(command)
                 return
             await self._run_attempt(command)
-            if self._form_server is not None:
+            if (
+                self._answered
+            ):  # the session has ended, or the form server answered that it served the request
                 return
 
     async def _run_attempt(self, placement: Placement) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -71,6 +71,18 @@
         client.close()
 
 
+def test_a_request_that_its_form_server_serves_to_its_end_at_once_ends_the_connection(
+    tmp_path: Path, form_server: FormServer, roster: RegistryStandIn
+) -> None:
+    # Guards against a connection that stays open, with nobody to end it, after `BYE` as the first answer.
+    form_server.answer = "BYE"
+    with node(tmp_path, roster) as running:
+        client = running.request_session()
+        client.sock.settimeout(1.0)
+        assert client.file.read() == b"BYE\r\n"
+        running.logged("ended", "reason=served", "attempts=1")
+
+
 def test_when_a_form_server_ends_the_session_the_client_connection_ends_too(
     tmp_path: Path, form_server: FormServer, roster: RegistryStandIn
 ) -> None:
