Part the shared state and the load reports from the text front's connections

Change: front_state and load_reports have modules of their own; no behaviour changes. The tests of the text front, hot restart, loads, imports and external names pass.

--- a/sailrun/text_protocol/clients.py
+++ b/sailrun/text_protocol/clients.py
@@ -13,25 +13,21 @@
 
 from sailrun.connection import Connection, OutOfDescriptorsError, OverlongLineError, connect
 from sailrun.decisions.events import AttemptOutcome, BackendState
-from sailrun.decisions.load_range import LoadOutOfRangeError
-from sailrun.decisions.settings import Effect
-from sailrun.front import FrontAcceptor, PendingConnections
+from sailrun.front import FrontAcceptor
 from sailrun.node.clock import log
-from sailrun.node.core import Node
 from sailrun.node.counters import InputSource
-from sailrun.node.request_ids import RequestIds
 from sailrun.node.session import FormServer, FormSession, Placement
 from sailrun.node.session_transfer import SendTransfer, SessionTransfer
+from sailrun.text_protocol.front_state import FrontState
 from sailrun.text_protocol.lines import (
     ANSWER_OUTCOMES,
     END_OUTCOMES,
     InvalidLineError,
     OpenRequest,
     first_word,
-    parse_load,
     parse_open_request,
 )
-from sailrun.text_protocol.load_lines import Load, LoadLineClassifier
+from sailrun.text_protocol.load_reports import LoadReporter
 from sailrun.text_protocol.transferred_session import TransferredSession
 
 SECOND = 1_000_000
@@ -47,8 +43,6 @@
 # After the last answer, input from the other side is read and discarded for this long: closing a socket with
 # unread input would reset the connection, and the other side could lose the answer.
 LINGER_US = SECOND // 4
-# The id of a request that is not idempotent stays blocked for this long after the request's deadline.
-REPEAT_MEMORY_US = 600 * SECOND
 # The number of a client's unanswered lines whose send times are recorded; bounds the memory for a client that
 # sends thousands of lines.
 MAX_TIMED_LINES = 64
@@ -56,53 +50,6 @@
 _END_REASONS = {AttemptOutcome.OK: "served", AttemptOutcome.CANCELLED: "sent-away"}
 
 
-class ClientFront:
-    """The front of the text protocol: the state that its connections share."""
-
-    def __init__(self, node: Node, groups: bool, descriptors: int) -> None:
-        self.node = node
-        self.groups = groups  # whether `g` names a group; otherwise it only identifies the client
-        self.classes = frozenset(c.name for c in node.settings.classes)
-        self.waiting = PendingConnections(descriptors)
-        # The lowest delay that form servers report, and the classifiers of their LOAD lines, by name.
-        self.min_delay_ms = node.reported_delay_threshold_ms
-        self.load_classifiers: dict[str, LoadLineClassifier[ClientConnection]] = {}
-        self.request_ids = RequestIds(node.clock)
-        self._idempotent_classes = frozenset(
-            c.name for c in node.settings.classes if c.effect is Effect.IDEMPOTENT
-        )
-        self._servers_with_rejected_load: set[str | None] = set()
-
-    def adopt(self, content: Any, sockets: Sequence[socket.socket]) -> ClientConnection:
-        """Adopts a session that a predecessor transfers; raises ValueError if the content is not valid."""
-        return ClientConnection.from_transfer(self, content, sockets)
-
-    def report_rejected_load(self, server_name: str | None, error: LoadOutOfRangeError) -> None:
-        """Counts a LOAD line that cannot be used, and logs the first one of each form server."""
-        self.node.input_rejected(InputSource.FORM_SERVER)
-        if server_name not in self._servers_with_rejected_load:
-            self._servers_with_rejected_load.add(server_name)
-            log("load-rejected", server=server_name, why=f"the load {error}")
-
-    def blocks_id_until_us(self, session: FormSession, was_established: bool) -> int:
-        """Returns until when the id of a request that may have run must not be used again.
-
-        Until its deadline, the form server may be at work on a request that it has not answered. A request
-        that is not idempotent must not run again after that either.
-        """
-        if session.request_class not in self._idempotent_classes:
-            return max(session.deadline_us, self.node.clock.now_us()) + REPEAT_MEMORY_US
-        return 0 if was_established else session.deadline_us
-
-    def create_acceptor(self, listener: socket.socket) -> FrontAcceptor:
-        """Creates the acceptor of clients of the text protocol."""
-
-        def make_connection(sock: socket.socket) -> ClientConnection:
-            return ClientConnection(self, Connection(sock))
-
-        return FrontAcceptor(listener, "household", make_connection, self.waiting, self.node.barrier)
-
-
 class ClientConnection:
     """One client's connection, the node's `SessionClient`. The node's calls do not block: they post commands
     or cancel scopes, and the tasks of this connection do the work.
@@ -110,7 +57,7 @@
 
     _group: TaskGroup
 
-    def __init__(self, front: ClientFront, connection: Connection) -> None:
+    def __init__(self, front: FrontState, connection: Connection) -> None:
         self._front = front
         self._node = front.node
         self._client = connection
@@ -127,8 +74,7 @@
         self._command_sender, self._command_receiver = anyio.create_memory_object_stream(8)
         self._current_attempt: tuple[int, anyio.CancelScope] | None = None
         self._wait_scope: anyio.CancelScope | None = None
-        self._load: float | None = None  # the last reported load, and the one before it
-        self._previous_load: float | None = None
+        self._load_reporter: LoadReporter | None = None  # set once the session is established
         self._moving_since_us = 0
         self._answered = self._sent_too_early = False
         self._may_have_run = False  # a form server may have got the request
@@ -143,7 +89,7 @@
 
     @classmethod
     def from_transfer(
-        cls, front: ClientFront, content: Any, sockets: Sequence[socket.socket]
+        cls, front: FrontState, content: Any, sockets: Sequence[socket.socket]
     ) -> ClientConnection:
         """Restores a session from the content that `_make_transfer` created in another process. Raises
         ValueError.
@@ -159,24 +105,28 @@
         self._form_server = Connection(server)
         self._form_server.restore(transferred.withheld_part)
         self._forwarded_part = transferred.forwarded_part
-        self._request, self._load, self._answered = request, transferred.load, True
+        self._request, self._answered = request, True
         self._server_name = transferred.server_name
         form_server = FormServer(transferred.server_name, ("", 0), BackendState.GONE)
         self._placement = Placement(form_server, transferred.attempt, 0)
         self._session = self._make_session(request, transferred.id, 0)
         self._session.resumed_at = None
         self._session.unanswered_since_us.extend(transferred.unanswered_since_us)
+        self._load_reporter = LoadReporter(
+            self._node, front.loads, self._session, transferred.server_name, transferred.load
+        )
         return self
 
     def _make_transfer(self, server: Connection) -> SessionTransfer:
         assert self._request is not None and self._session is not None and self._placement is not None
+        assert self._load_reporter is not None
         transferred = TransferredSession(
             request=self._request,
             id=self._session.id,
             server_name=self._placement.form_server.name,
             attempt=self._placement.attempt,
             unanswered_since_us=tuple(self._session.unanswered_since_us),
-            load=self._load,
+            load=self._load_reporter.load,
             client_input=self._client.peek(),
             forwarded_part=self._forwarded_part,
             withheld_part=server.peek(),
@@ -488,6 +438,9 @@
         if server is not None:
             latency_us = self._node.clock.now_us() - sent_us
             self._form_server, self._placement = server, placement
+            self._load_reporter = LoadReporter(
+                self._node, self._front.loads, self._session, placement.form_server.name, None
+            )
             self._reason = "unknown"
             self._node.connection_opened(self._session, placement, latency_us)
             outcome = await self._run_session_to_end(server)
@@ -498,8 +451,8 @@
         assert self._session is not None and self._form_server is not None
         self._node.adopt_session(self._session, placement)
         log("adopted", id=self._request.id if self._request else None, server=self._server_name)
-        if self._load is not None:
-            self._node.report_load(self._session, self._load)
+        if self._load_reporter is not None:
+            self._load_reporter.report_again()
         outcome = AttemptOutcome.CANCELLED
         try:
             outcome = await self._run_session_to_end(self._form_server)
@@ -684,7 +637,7 @@
         """Forwards and evaluates the complete lines. The start of an incomplete one stays in the buffer: once
         the client had a part of it, `MOVE` could not follow before its end.
         """
-        assert self._session is not None
+        assert self._session is not None and self._load_reporter is not None
         lines = server.take_lines()
         if not lines:
             return ending
@@ -692,41 +645,23 @@
         lines, self._forwarded_part = self._forwarded_part + lines, b""
         for line in lines.split(b"\n")[:-1]:
             ending = END_OUTCOMES.get(first_word(line), AttemptOutcome.RESET)
-            load = self._read_load(line)
-            if load is not None:
-                self._report_load_line(load)
-            elif ending is AttemptOutcome.RESET:
+            is_load = self._load_reporter.handle_line(line)
+            if not is_load and ending is AttemptOutcome.RESET:
                 self._node.line_answered(self._session)
         return ending
 
-    def _read_load(self, line: bytes) -> float | None:
-        """Returns the value of a LOAD line. None for another line, or if the value cannot be used: the client
-        gets the line all the same, and the load last reported stays in force.
-        """
-        try:
-            return parse_load(line)
-        except LoadOutOfRangeError as error:
-            self._front.report_rejected_load(self._server_name, error)
-            return None
-
-    def _report_load_line(self, value: float) -> None:
-        """Reports the value of a LOAD line to the node, as a load or a delay."""
-        assert self._session is not None and self._server_name is not None
-        front = self._front
-        classifier = front.load_classifiers.get(self._server_name)
-        if classifier is None:
-            classifier = front.load_classifiers[self._server_name] = LoadLineClassifier(front.min_delay_ms)
-        report = classifier.classify(self._node.clock.now_us(), value, self)
-        if isinstance(report, Load):
-            self._previous_load, self._load = self._load, value
-            self._node.report_load(self._session, value)
-            return
-        self._node.report_delay(self._session, report.value)
-        if report.misclassified_source is not None:
-            report.misclassified_source.restore_load()
-
-    def restore_load(self) -> None:
-        """Reports the load before the last one again, because the last value was a delay and not a load."""
-        if self._session is not None and self._previous_load is not None:
-            self._load = self._previous_load
-            self._node.report_load(self._session, self._load)
+
+class ClientFront(FrontState):
+    """The front of the text protocol."""
+
+    def adopt(self, content: Any, sockets: Sequence[socket.socket]) -> ClientConnection:
+        """Adopts a session that a predecessor transfers; raises ValueError if the content is not valid."""
+        return ClientConnection.from_transfer(self, content, sockets)
+
+    def create_acceptor(self, listener: socket.socket) -> FrontAcceptor:
+        """Creates the acceptor of clients of the text protocol."""
+
+        def make_connection(sock: socket.socket) -> ClientConnection:
+            return ClientConnection(self, Connection(sock))
+
+        return FrontAcceptor(listener, "household", make_connection, self.waiting, self.node.barrier)
--- a/tests/test_partial_lines.py
+++ b/tests/test_partial_lines.py
@@ -22,6 +22,7 @@
 from sailrun.text_protocol import clients as clients_module
 from sailrun.text_protocol.clients import ClientConnection, ClientFront
 from sailrun.text_protocol.lines import parse_open_request
+from sailrun.text_protocol.load_reports import FormServerLoads
 from sailrun.text_protocol.transferred_session import TransferredSession
 from tests.free_ports import free_port
 from tests.stand_ins import TIMEOUT_S, FormServer, Peer, RegistryStandIn, RunningNode, node
@@ -124,15 +125,15 @@
 
 def adopt(content: dict[str, Any], client: socket.socket, server: socket.socket) -> ClientConnection:
     waiting = SimpleNamespace(add_closing=lambda _scope: None, remove=lambda _scope: None)
+    fake_node = cast(Node, FakeNode())
     front = SimpleNamespace(
-        node=cast(Node, FakeNode()),
+        node=fake_node,
         groups=False,
         classes={"page-load"},
         waiting=waiting,
         request_ids=RequestIds(Clock()),
         blocks_id_until_us=lambda _session, _was_established: 0,
-        min_delay_ms=0.0,
-        load_classifiers={},
+        loads=FormServerLoads(fake_node),
     )
     return ClientConnection.from_transfer(cast(ClientFront, front), content, [client, server])
 
