--- a/sailrun/amqp/engine.py
+++ b/sailrun/amqp/engine.py
@@ -90,9 +90,8 @@
                 group.start_soon(self._run_idle_timer)
                 await self._write()
                 group.cancel_scope.cancel()
-            if self._read_scope.cancel_called:
-                with anyio.move_on_after(ERROR_LINGER_S):
-                    await self._connection.finish_sending()
+            if self.error() is not None:
+                await self._linger()
         except* (OSError, anyio.ClosedResourceError):
             self.broken = True
         finally:
@@ -128,6 +127,15 @@
         if self._read_scope.cancel_called:
             await self._abandon_after_linger()
 
+    async def _linger(self) -> None:
+        """Discards input for a while: a connection that is closed with unread input is reset, and the other
+        side could lose the close frame.
+        """
+        self._connection.stop_sending()
+        with anyio.move_on_after(ERROR_LINGER_S):
+            while not self._connection.closed and await self._connection.fill():
+                self._connection.take()
+
     async def _abandon_after_linger(self) -> None:
         """Ends the connection even if the other side does not read the close frame."""
         await anyio.sleep(ERROR_LINGER_S)
