Keep an id blocked after its session was taken over, and for the later of two times

A session that was transferred in a hot restart forgot that its request had run: in a class that may run at most once, its id was free again at the new process once the session had ended. And an id that both processes blocked kept the time of the process that ended.

Change: an adopted session counts as one that has run; of two times the later one holds.

--- a/sailrun/node/request_ids.py
+++ b/sailrun/node/request_ids.py
@@ -68,7 +68,7 @@
         self.on_change(id_, blocked_until_us)
 
     def _remember(self, id_: str, until_us: float) -> None:
-        self._remembered.pop(id_, None)
+        until_us = max(until_us, self._remembered.pop(id_, 0))
         now_us = self._clock.now_us()
         if until_us <= now_us:
             return
--- a/sailrun/text_protocol/clients.py
+++ b/sailrun/text_protocol/clients.py
@@ -105,7 +105,7 @@
         self._form_server = Connection(server)
         self._form_server.restore(transferred.withheld_part)
         self._forwarded_part = transferred.forwarded_part
-        self._request, self._answered = request, True
+        self._request, self._answered, self._may_have_run = request, True, True
         self._server_name = transferred.server_name
         form_server = FormServer(transferred.server_name, ("", 0), BackendState.GONE)
         self._placement = Placement(form_server, transferred.attempt, 0)
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -84,17 +84,29 @@
     assert running.read_metrics()["rejected_inputs.client"] == 0
 
 
+@pytest.mark.parametrize("is_transferred", [False, True])
 @pytest.mark.parametrize("effect", ["idempotent", "at_most_once"])
 def test_a_request_that_is_not_idempotent_does_not_run_again_after_its_session(
-    tmp_path: Path, form_server: FormServer, effect: str
+    tmp_path: Path, form_server: FormServer, effect: str, is_transferred: bool
 ) -> None:
+    # Guards also against a process that takes over a session and forgets that its request has run.
     services = [{**service, "effect": effect} for service in SETTINGS["services"]]
+    roster, listen = RegistryStandIn([form_server.entry()]), f"127.0.0.1:{free_port()}"
     form_server.answer = "UP r1"
-    with node(
-        tmp_path, RegistryStandIn([form_server.entry()]), settings={**SETTINGS, "services": services}
-    ) as running:
-        client = running.request_session(ID)
+    with ExitStack() as stack:
+
+        def start() -> RunningNode:
+            control = f"127.0.0.1:{free_port()}"
+            changes = {"settings": {**SETTINGS, "services": services}, "listen": listen, "control": control}
+            return stack.enter_context(node(tmp_path, roster, None, None, **changes))
+
+        running = first = start()
+        client = first.request_session(ID)
         assert client.read_line() == "UP r1"
+        if is_transferred:
+            running = start()
+            running.logged("adopted", f"id={ID}")
+            first.logged("ended", "reason=handed-over")
         client.close()
         running.logged("ended", "reason=household-left")
         assert running.request_session(ID).read_line() == ("UP r1" if effect == "idempotent" else "ERR")
@@ -172,6 +184,20 @@
     }
 
 
+def test_an_id_stays_blocked_as_long_as_either_process_states() -> None:
+    clock = Time()
+    ids_here = RequestIds(clock)
+    for id_, here_us, elsewhere_us in (("a", 50, 20), ("b", 20, 50)):
+        assert ids_here.reserve(id_)
+        ids_here.release(id_, clock.us + here_us)
+        ids_here.apply_change(id_, clock.us + elsewhere_us)
+    ids_here.on_other_process_ended(clock.us + 10)
+    clock.us += 40
+    assert not ids_here.reserve("a") and not ids_here.reserve("b")
+    clock.us += 11
+    assert ids_here.reserve("a") and ids_here.reserve("b")
+
+
 def test_the_memory_for_ids_is_bounded() -> None:
     clock = Time()
     remembered = RequestIds(clock)
