Derive unsettled transfers and invalid links in place of counting them beside

Cause: the change kept state that the objects have already: a callback and a set for transfers that are not settled, a counter for invalid links, a second constant for transfers at once, and a second type for a clock.

Change: both are read off the transfers and the links; one constant stands with SessionTransfer; RequestIds takes the project's Clock. No behaviour changes.

--- a/sailrun/amqp/client_link.py
+++ b/sailrun/amqp/client_link.py
@@ -49,10 +49,6 @@
     classes: Container[str]
     group: TaskGroup
 
-    def on_invalid_link(self) -> None:
-        """A link that stated no valid request was detached."""
-        ...
-
 
 class ClientLink:
     """A link of a client's connection: the core's `SessionClient` for one form session."""
@@ -104,7 +100,6 @@
     def _reject_request(self, problem: str) -> None:
         self._node.input_rejected(InputSource.CLIENT)
         self.is_invalid = True
-        self._client_connection.on_invalid_link()
         self._detach("bad-request", BAD_REQUEST, problem[:MAX_PROBLEM_CHARACTERS])
 
     # ------------------------------------------------------------------ commands of the core
--- a/sailrun/amqp/clients.py
+++ b/sailrun/amqp/clients.py
@@ -42,7 +42,6 @@
         self.classes: Container[str] = frozenset(c.name for c in node.settings.classes)
         self.engine = Engine(connection, settings, self._handle_event, is_server=True)
         self._links: dict[Any, ClientLink] = {}  # by proton's object, until the client has detached
-        self.invalid_link_count = 0
         self._reason = "connection-lost"
         self._opened = anyio.Event()
 
@@ -81,9 +80,9 @@
         """Counts the links among them that this process has detached."""
         return sum(link.has_ended for link in self._links.values())
 
-    def on_invalid_link(self) -> None:
-        """A link that stated no valid request was detached."""
-        self.invalid_link_count += 1
+    def count_invalid_links(self) -> int:
+        """Counts the links among them that stated no valid request."""
+        return sum(link.is_invalid for link in self._links.values())
 
     async def _expect_open(self, deadline_us: int) -> None:
         scope = anyio.CancelScope(deadline=self.node.clock.to_deadline(deadline_us))
@@ -141,7 +140,6 @@
     def _remove_link(self, link: Any) -> None:
         ended_link = self._links.pop(link, None)
         if ended_link is not None:
-            self.invalid_link_count -= ended_link.is_invalid
             ended_link.client_left("household-left")
         if not link.state & proton.Endpoint.LOCAL_CLOSED:
             if link.state & proton.Endpoint.LOCAL_UNINIT:
--- a/sailrun/amqp/limits.py
+++ b/sailrun/amqp/limits.py
@@ -28,9 +28,8 @@
         """All links that the client has not detached."""
         ...
 
-    @property
-    def invalid_link_count(self) -> int:
-        """Links among them that stated no valid request."""
+    def count_invalid_links(self) -> int:
+        """Counts the links among them that stated no valid request."""
         ...
 
     def count_ended_links(self) -> int:
@@ -68,10 +67,10 @@
             excess.close_for_too_many_links()
 
     def _find_excess(self, connection: LimitedConnection) -> LimitedConnection | None:
-        if (
-            connection.link_count > MAX_LINKS_PER_CONNECTION
-            or connection.invalid_link_count > MAX_INVALID_LINKS
-        ):
+        links = connection.link_count
+        if links > MAX_LINKS_PER_CONNECTION:
+            return connection
+        if links > MAX_INVALID_LINKS and connection.count_invalid_links() > MAX_INVALID_LINKS:
             return connection
         if sum(other.link_count for other in self._connections) <= self._max_links:
             return None
--- a/sailrun/hot_restart/channel.py
+++ b/sailrun/hot_restart/channel.py
@@ -10,11 +10,7 @@
 
 from sailrun.hot_restart.link import Link, send_with_sockets
 from sailrun.hot_restart.state import pack
-from sailrun.node.session_transfer import SessionTransfer
-
-# The number of sessions that are transferred to the successor at once. Until it has accepted a session, both
-# processes hold the session's descriptors.
-MAX_TRANSFERS_IN_FLIGHT = 8
+from sailrun.node.session_transfer import MAX_UNSETTLED_TRANSFERS, SessionTransfer
 
 
 class Channel:
@@ -64,7 +60,7 @@
             self._wake_up = anyio.Event()
             lines, self._queued_lines = self._queued_lines, []
             await self.link.write(b"".join(lines))
-            while self._queued_transfers and len(self._in_flight) < MAX_TRANSFERS_IN_FLIGHT:
+            while self._queued_transfers and len(self._in_flight) < MAX_UNSETTLED_TRANSFERS:
                 transfer = self._queued_transfers.popleft()
                 self._last_number += 1
                 self._in_flight[self._last_number] = transfer
--- a/sailrun/hot_restart/handover.py
+++ b/sailrun/hot_restart/handover.py
@@ -15,7 +15,7 @@
 from anyio.abc import TaskGroup
 
 from sailrun.connection import OverlongLineError, show_address
-from sailrun.hot_restart.channel import MAX_TRANSFERS_IN_FLIGHT, Channel, read_line
+from sailrun.hot_restart.channel import Channel, read_line
 from sailrun.hot_restart.link import (
     MAX_SOCKETS,
     HandoverListener,
@@ -42,6 +42,7 @@
 from sailrun.node.queries import Reply, send_query
 from sailrun.node.request_ids import RequestIds
 from sailrun.node.restart_state import NodeSnapshot
+from sailrun.node.session_transfer import MAX_UNSETTLED_TRANSFERS
 from sailrun.node.shutdown import ShutdownReason
 
 SECOND = 1_000_000
@@ -276,7 +277,7 @@
         limit = (
             self._max_descriptors
             - self._predecessor_descriptors
-            + (3 * MAX_TRANSFERS_IN_FLIGHT if self._predecessor_descriptors else 0)
+            + (3 * MAX_UNSETTLED_TRANSFERS if self._predecessor_descriptors else 0)
         )
         hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
         soft_limit = min(self._max_descriptors, max(MIN_DESCRIPTORS, limit))
--- a/sailrun/node/request_ids.py
+++ b/sailrun/node/request_ids.py
@@ -4,24 +4,17 @@
 
 import math
 from collections.abc import Callable, Iterable
-from typing import Protocol
 
 import anyio
 
+from sailrun.node.clock import Clock
+
 # How many ids of ended requests are remembered at most; the oldest is forgotten first.
 MAX_REMEMBERED = 8192
 # How long a new process waits for the ids that its predecessor has taken since it handed over its state.
 PREDECESSOR_TIMEOUT_S = 0.1
 
 
-class HasTime(Protocol):
-    """A clock."""
-
-    def now_us(self) -> int:
-        """Returns the current time in Unix microseconds."""
-        ...
-
-
 class RequestIds:
     """The ids in use, and those of ended requests until their time is over. A client uses an id once, so one
     that comes again would duplicate a request.
@@ -29,7 +22,7 @@
     If several processes form a node, each reports its changes to the others through `on_change`.
     """
 
-    def __init__(self, clock: HasTime) -> None:
+    def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._in_use: set[str] = set()
         self._remembered: dict[str, float] = {}  # until when, in Unix microseconds; oldest first
--- a/sailrun/node/session_transfer.py
+++ b/sailrun/node/session_transfer.py
@@ -8,6 +8,10 @@
 
 import anyio
 
+# The number of sessions that are transferred to the successor at once. Until it has accepted a session, both
+# processes hold the session's descriptors, and nothing is read from its client or form server.
+MAX_UNSETTLED_TRANSFERS = 8
+
 
 class SessionTransfer:
     """An established session that is being transferred: the front's state of the session and its two sockets.
@@ -16,7 +20,7 @@
     successor owns them from then on.
     """
 
-    __slots__ = ("content", "is_accepted", "on_settled", "settled", "sockets")
+    __slots__ = ("content", "is_accepted", "settled", "sockets")
 
     def __init__(self, content: dict[str, Any], sockets: tuple[socket.socket, ...]) -> None:
         """`content`: the front's state, as JSON that only the front interprets. `sockets`: the client's and
@@ -24,7 +28,6 @@
         """
         self.content, self.sockets = content, sockets
         self.settled = anyio.Event()
-        self.on_settled: Callable[[], None] = lambda: None
         self.is_accepted = False
 
     def settle(self, is_accepted: bool) -> None:
@@ -32,7 +35,6 @@
         if not self.settled.is_set():
             self.is_accepted = is_accepted
             self.settled.set()
-            self.on_settled()
 
 
 SendTransfer = Callable[[SessionTransfer], None]  # sends a transfer, and settles it in every case
--- a/sailrun/node/successor_transfer.py
+++ b/sailrun/node/successor_transfer.py
@@ -8,13 +8,9 @@
 from sailrun.node.draining import ShutdownController
 from sailrun.node.form_server_monitor import FormServerMonitors
 from sailrun.node.session import FormSession
-from sailrun.node.session_transfer import SendTransfer, SessionTransfer
+from sailrun.node.session_transfer import MAX_UNSETTLED_TRANSFERS, SendTransfer, SessionTransfer
 from sailrun.node.shutdown import ShutdownPlans, ShutdownReason
 
-# The number of sessions that are offered a transfer before one of them is settled. A session reads nothing
-# from its offer on, so the others must not wait for their turn in that state.
-MAX_UNSETTLED_TRANSFERS = 8
-
 
 class SuccessorTransfer:
     """Transfers sessions to the successor while there is one. The others are served meanwhile."""
@@ -30,7 +26,7 @@
         self._plans, self._shutdown = plans, shutdown
         self._send: SendTransfer | None = None
         self._waiting: deque[FormSession] = deque()
-        self._unsettled: set[SessionTransfer] = set()
+        self._sent: list[SessionTransfer] = []
 
     @property
     def has_waiting(self) -> bool:
@@ -55,8 +51,13 @@
             self._waiting.append(session)
 
     def offer_waiting(self) -> None:
-        """Offers transfers to the next sessions; called in each iteration of the event loop."""
-        for _ in range(MAX_UNSETTLED_TRANSFERS - len(self._unsettled)):
+        """Offers transfers to the next sessions while few are unsettled; called in each turn of the event
+        loop. A session reads nothing from its offer on, so the others must not wait in that state.
+        """
+        if not self._waiting:
+            return
+        self._sent = [transfer for transfer in self._sent if not transfer.settled.is_set()]
+        for _ in range(MAX_UNSETTLED_TRANSFERS - len(self._sent)):
             if not self._waiting:
                 return
             self._offer(self._waiting.popleft())
@@ -82,6 +83,5 @@
         if self._send is None:
             transfer.settle(False)
             return
-        self._unsettled.add(transfer)
-        transfer.on_settled = lambda: self._unsettled.discard(transfer)
+        self._sent.append(transfer)
         self._send(transfer)
--- a/tests/test_amqp_limits.py
+++ b/tests/test_amqp_limits.py
@@ -244,11 +244,12 @@
 class CountedConnection:
     """A connection of `LinkLimits` with this many links, of which `ended` were detached by the node."""
 
-    invalid_link_count = 0
-
     def __init__(self, links: int, ended: int) -> None:
         self.link_count, self.ended, self.is_closed = links, ended, False
 
+    def count_invalid_links(self) -> int:
+        return 0
+
     def count_ended_links(self) -> int:
         return self.ended
 
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies as st
 
 from sailrun.hot_restart.state import read_request_id, write_request_id
+from sailrun.node.clock import Clock
 from sailrun.node.request_ids import MAX_REMEMBERED, RequestIds
 from tests.free_ports import free_port
 from tests.stand_ins import DEADLINES_US, SETTINGS, TIMEOUT_S, FormServer, RegistryStandIn, RunningNode, node
@@ -139,7 +140,7 @@
         until_served(second, "4c0f03aa5c7e2d41")
 
 
-class Time:
+class Time(Clock):
     def __init__(self) -> None:
         self.us = 1_000_000
 
