Test that a closing AMQP connection ends and that its close frame arrives

Cause: with the linger or the forced end taken out, every test still passed; the test of a client that reads nothing could not fail, since its node's few frames fit into the buffers of the system. It is replaced by two exact ones: an engine whose write is blocked ends after an error and at the idle time-out, and a close frame that still waits to be sent is not dropped by a reset.

--- a/tests/test_amqp_limits.py
+++ b/tests/test_amqp_limits.py
@@ -11,6 +11,8 @@
 from typing import Any
 
 import anyio
+import anyio.lowlevel
+import anyio.to_thread
 import proton
 import pytest
 from hypothesis import given
@@ -162,12 +164,12 @@
     return thread
 
 
-def read_to_end(client: AmqpConnection) -> bytes:
+def read_to_end(sock: socket.socket) -> bytes:
     """Returns what the node sends until it ends the connection."""
-    client.sock.settimeout(TIMEOUT_S)
+    sock.settimeout(TIMEOUT_S)
     received = b""
     with contextlib.suppress(ConnectionError):
-        while data := client.sock.recv(65536):
+        while data := sock.recv(65536):
             received += data
     return received
 
@@ -205,7 +207,7 @@
 ) -> None:
     client, output = connect_with_output(running, overload, 100)
     client.sock.sendall(output)
-    assert error in read_to_end(client)
+    assert error in read_to_end(client.sock)
 
 
 @pytest.mark.parametrize(("overload", "error"), OVERLOADS)
@@ -219,7 +221,7 @@
     client, output = connect_with_output(running, overload, 20_000)
     thread = send_in_background(client, output)
     assert answer_time_s(running, "other") < 1.0
-    read_to_end(client)  # a reset, as the client is still sending, or the error
+    read_to_end(client.sock)  # a reset, as the client is still sending, or the error
     thread.join()
     client.sock.close()
     running.logged("connection-ended", f"reason={error.decode()}")
@@ -278,11 +280,69 @@
     assert max_frame_size <= session_window_bytes(max_frame_size) <= max(64 * 1024, 2 * max_frame_size)
 
 
-def test_a_client_that_reads_nothing_is_disconnected_for_too_many_invalid_links(running: RunningNode) -> None:
-    # Guards against a connection that stays open because its client does not read the close frame.
-    client, output = connect_with_output(running, attach_many_invalid_links, 10_000)
-    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    with contextlib.suppress(OSError):
-        client.sock.sendall(output)
-    running.logged("connection-ended", "reason=amqp:resource-limit-exceeded")
-    client.sock.close()
+def exceed_a_limit(engine: Engine) -> None:
+    engine.close_with_error("amqp:resource-limit-exceeded", "too many")
+
+
+def stay_idle(_engine: Engine) -> None:
+    """The other side has sent nothing, so its idle time-out ends the connection."""
+
+
+@pytest.mark.parametrize("end", [exceed_a_limit, stay_idle])
+def test_a_connection_ends_although_its_other_side_reads_nothing(end: Callable[[Engine], None]) -> None:
+    # Guards against a connection that stays open because its last frames cannot be written.
+    async def run() -> None:
+        own, other = socket.socketpair()
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        engine = Engine(Connection(own), AmqpSettings(idle_time_out_ms=300), lambda _event: None, False)
+        engine.amqp_connection.open()
+        session = engine.amqp_connection.session()
+        engine.open_session(session)
+        for n in range(2_000):
+            session.sender(f"link-{n}").open()
+        engine.dispatch_events()
+        with anyio.fail_after(TIMEOUT_S / 4):
+            async with anyio.create_task_group() as group:
+                group.start_soon(engine.run)
+                await anyio.wait_all_tasks_blocked()
+                assert engine.transport.pending() > 0  # the write is blocked
+                end(engine)
+        other.close()
+
+    anyio.run(run)
+
+
+def test_a_reset_does_not_overtake_the_close_frame() -> None:
+    # Guards against a close with unread input while the other side has not received everything: the system
+    # then drops what is left to be sent.
+    async def run() -> bytes:
+        listener = socket.create_server(("127.0.0.1", 0))
+        other = socket.socket()
+        other.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+        other.connect(listener.getsockname())
+        own = listener.accept()[0]
+        listener.close()
+
+        def answer(event: Any) -> None:
+            if event.type == proton.Event.CONNECTION_REMOTE_OPEN:
+                event.connection.open()
+            elif event.type == proton.Event.SESSION_REMOTE_OPEN:
+                engine.open_session(event.session)
+            elif event.type == proton.Event.LINK_REMOTE_OPEN:
+                event.link.open()
+
+        engine = Engine(Connection(own), AmqpSettings(), answer, is_server=True)
+        client = AmqpConnection(other)
+        attach_many_links(client, 1_000)
+        async with anyio.create_task_group() as group:
+            group.start_soon(engine.run)
+            other.sendall(take_output(client))
+            await anyio.wait_all_tasks_blocked()
+            engine.close_with_error("amqp:resource-limit-exceeded", "too many")
+            other.sendall(bytes(10_000))  # the engine reads no frames any more
+            await anyio.lowlevel.checkpoint()
+            received = await anyio.to_thread.run_sync(read_to_end, other)
+        other.close()
+        return received
+
+    assert b"amqp:resource-limit-exceeded" in anyio.run(run)
