Test moves off a crowded form server, and commands at both ends of a hot restart

Cause: the issue names a crowded form server among the ways to a move; no test had it. That a new process mirrors its first command, and that a process which has ended is read to its last line, were only suspected and repaired untested.

--- a/tests/test_mirrored_commands.py
+++ b/tests/test_mirrored_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 import socket
 import threading
 from collections import deque
@@ -18,7 +19,7 @@
 from sailrun.config import read_settings
 from sailrun.decisions.events import BackendState, ListKind
 from sailrun.hot_restart.channel import Channel
-from sailrun.hot_restart.handover import Handover, inherit
+from sailrun.hot_restart.handover import Handover, Inherited, inherit
 from sailrun.hot_restart.link import HandoverListener, Link, send_with_sockets
 from sailrun.hot_restart.state import pack, read_state, unpack, write_state
 from sailrun.lab.scheduler import BEGIN_US, Scheduler, VirtualClock
@@ -30,7 +31,7 @@
 from sailrun.node.session import ServerListUpdate
 from sailrun.node.shutdown import ShutdownReason
 from tests.free_ports import free_port
-from tests.stand_ins import SETTINGS, RegistryStandIn, node, roster_entry
+from tests.stand_ins import SETTINGS, TIMEOUT_S, RegistryStandIn, node, roster_entry
 
 NAMES = ("s-00000000", "s-00000001", "s-00000002")
 LISTED = tuple(ListedFormServer(name, ("127.0.0.1", 1), BackendState.READY) for name in NAMES)
@@ -245,3 +246,40 @@
         assert set(answers.values()) == {"ok"} and len(answers) < len(names)
         second.wait_for_metric("hosts_down", len(answers))
         assert first.read_metrics()["hosts_down"] == len(answers)
+
+
+def successor_of(other: socket.socket) -> tuple[Node, Handover]:
+    """Returns a process that has inherited the connection whose other end is given, before its first turn."""
+    node_, inherited = make_node(), Inherited(Link(other), None)
+    arguments = ("n1", 1024, dict, lambda _paused: None, inherited, lambda _content, _sockets: None)
+    return node_, Handover(node_, *arguments, RequestIds(node_.clock))
+
+
+def test_a_command_that_a_new_process_executes_first_is_mirrored_to_its_predecessor() -> None:
+    # Guards against a command at the new address that the old process never gets.
+    own, other = socket.socketpair()
+    successor, handover = successor_of(other)
+    make_call(successor, (OperatorCommand.OVERRIDE, NAMES[0], True), [])
+    run_turn(successor)
+    (channel,) = handover._channels
+    assert sent_messages(channel, own) == [(OperatorCommand.OVERRIDE, [NAMES[0], True])]
+    own.close()
+
+
+def test_what_a_process_has_mirrored_before_its_end_is_executed() -> None:
+    # Guards against the last commands of a process being lost because nothing can be written to it any more.
+    async def run() -> None:
+        own, other = socket.socketpair()
+        successor, handover = successor_of(other)
+        # More than is read at once.
+        own.sendall(b"".join(pack(OperatorCommand.OVERRIDE, [NAMES[0], n % 2 == 0]) for n in range(401)))
+        own.close()
+        (channel,) = handover._channels
+        with anyio.fail_after(TIMEOUT_S):
+            await handover._run_as_successor(channel)
+        run_turn(successor)
+        assert state_of(successor) == (frozenset({NAMES[0]}), False)
+
+    descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)
+    anyio.run(run)
+    resource.setrlimit(resource.RLIMIT_NOFILE, descriptors)  # a successor sets its own limit
--- a/tests/test_partial_lines.py
+++ b/tests/test_partial_lines.py
@@ -5,6 +5,8 @@
 import contextlib
 import signal
 import socket
+import threading
+import time
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack
 from pathlib import Path
@@ -25,10 +27,12 @@
 from sailrun.text_protocol.load_reports import FormServerLoads
 from sailrun.text_protocol.transferred_session import TransferredSession
 from tests.free_ports import free_port
-from tests.stand_ins import TIMEOUT_S, FormServer, Peer, RegistryStandIn, RunningNode, node
+from tests.stand_ins import SETTINGS, TIMEOUT_S, FormServer, Peer, RegistryStandIn, RunningNode, node
 
 # A complete line, and one that the form server stops at each byte of.
 OUTPUT = b"re 1\r\nre answer\r\n"
+# Longer than a node waits for a line to be completed.
+PIECES_APART_S = 0.8
 
 
 @pytest.fixture
@@ -227,3 +231,50 @@
         content.pop("withheld_part", None)
         with pytest.raises(ValueError, match="half_said"):
             TransferredSession.from_content(content, {"page-load"})
+
+
+class HesitantFormServer(FormServer):
+    """Answers each line in two pieces, and slowly: when a client is moved, it is within a line."""
+
+    def serve(self, peer: Peer) -> None:
+        self.first_lines.put(peer.read_line())
+        peer.send_line("UP r1")
+        while line := peer.read_line():
+            peer.sock.sendall(b"re ")
+            time.sleep(PIECES_APART_S)
+            peer.send_line(line)
+
+
+def read_until_moved(client: Peer) -> list[str]:
+    """Sends lines one after another until the connection ends; returns what the client got."""
+    received = []
+    with contextlib.suppress(OSError):
+        client.send_line("page 3")
+        while line := client.read_line():
+            received.append(line)
+            client.send_line("page 3")
+    return received
+
+
+def test_clients_are_moved_off_a_crowded_form_server_between_two_lines(tmp_path: Path) -> None:
+    # Guards against `MOVE` behind half a line where the decisions move a client, not the node.
+    server = HesitantFormServer("s-5be2a07c")
+    objectives = {"messageAimUs": [50_000.0, 50_000.0]}
+    changes = {"settings": {**SETTINGS, "familyInfo": {**SETTINGS["familyInfo"], **objectives}}}
+    with node(tmp_path, RegistryStandIn([server.entry()]), None, None, **changes) as running:
+        clients = [running.request_session(f"{n:016x}", group=f"{n:016x}") for n in range(6)]
+        assert [client.read_line() for client in clients] == ["UP r1"] * 6
+        received: list[list[str]] = []
+        threads = [
+            threading.Thread(target=lambda client=client: received.append(read_until_moved(client)))
+            for client in clients
+        ]
+        for thread in threads:
+            thread.start()
+        running.logged("ended", "reason=moved", "moved_for=crowded")
+        running.terminate()
+        for thread in threads:
+            thread.join()
+    assert [lines[-1] for lines in received] == ["MOVE"] * 6
+    assert {line for lines in received for line in lines[:-1]} <= {"re page 3"}
+    server.stop()
