--- a/sailrun/amqp/client_link.py
+++ b/sailrun/amqp/client_link.py
@@ -68,12 +68,7 @@
         self.is_invalid = False  # it stated no valid request
 
     def request_session(self) -> None:
-        """Reads the request from the attach and places it. An invalid one is detached with the reason. One
-        whose client has closed its connection is not placed.
-        """
-        if self._client_connection.engine.other_side_has_ended():
-            self._finish("household-left")
-            return
+        """Reads the request from the attach and places it; an invalid one is detached with the reason."""
         properties = {str(name): value for name, value in (self.link.remote_properties or {}).items()}
         key, group, cls, time_left_ms = (properties.get(name) for name in (KEY, GROUP, CLASS, TIME_LEFT))
         for name, value, kind in ((KEY, key, str), (CLASS, cls, str), (TIME_LEFT, time_left_ms, int)):
--- a/tests/test_amqp_limits.py
+++ b/tests/test_amqp_limits.py
@@ -346,3 +346,17 @@
         return received
 
     assert b"amqp:resource-limit-exceeded" in anyio.run(run)
+
+
+def test_a_session_is_opened_with_its_window() -> None:
+    # Guards against the default of the library, which is without a limit.
+    async def run() -> int:
+        own, other = socket.socketpair()
+        engine = Engine(Connection(own), AmqpSettings(max_frame_size=4096), lambda _event: None, True)
+        session = engine.amqp_connection.session()
+        engine.open_session(session)
+        own.close()
+        other.close()
+        return int(session.incoming_capacity)
+
+    assert anyio.run(run) == session_window_bytes(4096)
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -3,19 +3,26 @@
 from __future__ import annotations
 
 import math
+import socket
 import time
 from collections import deque
 from collections.abc import Iterator
 from contextlib import ExitStack
 from pathlib import Path
+from types import SimpleNamespace
+from typing import cast
 
+import anyio
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from sailrun.connection import Connection
 from sailrun.hot_restart.state import read_request_id, write_request_id
+from sailrun.node import request_ids as request_ids_module
 from sailrun.node.clock import Clock
 from sailrun.node.request_ids import MAX_REMEMBERED, RequestIds
+from sailrun.text_protocol.clients import ClientConnection, ClientFront
 from tests.free_ports import free_port
 from tests.stand_ins import DEADLINES_US, SETTINGS, TIMEOUT_S, FormServer, RegistryStandIn, RunningNode, node
 
@@ -207,3 +214,51 @@
         remembered.release(str(n), clock.us + DEADLINES_US["page-load"])
     assert len(remembered.snapshot()) == MAX_REMEMBERED
     assert remembered.reserve("0") and not remembered.reserve(str(3 * MAX_REMEMBERED - 1))
+
+
+async def play_first_line(request_ids: RequestIds) -> list[str]:
+    """Has a client send its first line; returns the keys of the requests that are placed before the ids are
+    marked as current. The request is placed after that at the latest.
+    """
+    placed = list[str]()
+    client, own = socket.socketpair()
+    fake_node = SimpleNamespace(clock=Clock(), request_session=lambda session: placed.append(session.key))
+    waiting = SimpleNamespace(add=lambda _scope: None, remove=lambda _scope: None)
+    front = SimpleNamespace(
+        node=fake_node, groups=False, classes={"page-load"}, waiting=waiting, request_ids=request_ids
+    )
+    connection = ClientConnection(cast(ClientFront, front), Connection(own))
+    client.sendall(f"OPEN {ID} k c=page-load,d=2000\r\n".encode())
+    async with anyio.create_task_group() as group:
+        group.start_soon(connection._receive_request, Clock().now_us() + 20_000_000)
+        while connection._request is None:
+            await anyio.sleep(0.001)
+        await anyio.wait_all_tasks_blocked()
+        placed_before = list(placed)
+        request_ids.mark_current()
+        while not placed:
+            await anyio.sleep(0.001)
+    client.close()
+    own.close()
+    return placed_before
+
+
+def test_a_new_process_places_nothing_before_it_knows_the_ids_of_its_predecessor(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against an id that the old process took while the new one started.
+    monkeypatch.setattr(request_ids_module, "PREDECESSOR_TIMEOUT_S", TIMEOUT_S)
+    request_ids = RequestIds(Clock())
+    request_ids.restore([])
+    assert anyio.run(play_first_line, request_ids) == []
+    assert anyio.run(play_first_line, RequestIds(Clock())) == ["k"]
+
+
+def test_a_new_process_does_not_wait_long_for_a_predecessor_of_an_earlier_version() -> None:
+    async def wait() -> None:
+        request_ids = RequestIds(Clock())
+        request_ids.restore([])
+        with anyio.fail_after(TIMEOUT_S / 4):
+            await request_ids.wait_until_current()
+
+    anyio.run(wait)
