Part the forwarding of requests, of lines and the close from the text connection

Change: RequestForwarder makes the attempts and knows what they left; FormServerLines forwards a session's lines and sends MOVE; close_gracefully closes.

--- a/benchmarks/external_names/tables.py
+++ b/benchmarks/external_names/tables.py
@@ -8,6 +8,7 @@
 LITERAL_MODULES: dict[str, tuple[str, ...]] = {
     "text-protocol": (
         *("text_protocol/lines.py", "text_protocol/clients.py", "text_protocol/peers.py"),
+        *("text_protocol/request_forwarder.py", "text_protocol/form_server_lines.py"),
         "text_protocol/transferred_session.py",
     ),
     "amqp": ("amqp",),
--- a/sailrun/serve.py
+++ b/sailrun/serve.py
@@ -18,7 +18,8 @@
 from sailrun.front import FrontAcceptor, descriptors_allowed
 from sailrun.node.clock import Clock, log
 from sailrun.node.core import Node
-from sailrun.text_protocol.clients import LINGER_US, ClientFront
+from sailrun.text_protocol.clients import ClientFront
+from sailrun.text_protocol.graceful_close import LINGER_US
 from sailrun.text_protocol.peers import PingHealthChecker, UdpPeerTransport
 
 if TYPE_CHECKING:
--- a/sailrun/text_protocol/clients.py
+++ b/sailrun/text_protocol/clients.py
@@ -11,23 +11,19 @@
 from anyio.abc import TaskGroup
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
-from sailrun.connection import Connection, OutOfDescriptorsError, OverlongLineError, connect
+from sailrun.connection import Connection, OverlongLineError
 from sailrun.decisions.events import AttemptOutcome, BackendState
 from sailrun.front import FrontAcceptor
 from sailrun.node.clock import log
 from sailrun.node.counters import InputSource
 from sailrun.node.session import FormServer, FormSession, Placement
 from sailrun.node.session_transfer import SendTransfer, SessionTransfer
+from sailrun.text_protocol.form_server_lines import FormServerLines
 from sailrun.text_protocol.front_state import FrontState
-from sailrun.text_protocol.lines import (
-    ANSWER_OUTCOMES,
-    END_OUTCOMES,
-    InvalidLineError,
-    OpenRequest,
-    first_word,
-    parse_open_request,
-)
+from sailrun.text_protocol.graceful_close import close_gracefully
+from sailrun.text_protocol.lines import InvalidLineError, OpenRequest, parse_open_request
 from sailrun.text_protocol.load_reports import LoadReporter
+from sailrun.text_protocol.request_forwarder import RequestForwarder
 from sailrun.text_protocol.transferred_session import TransferredSession
 
 SECOND = 1_000_000
@@ -40,9 +36,6 @@
 # A client is moved between two lines. If the form server has not completed a line after this time, the part
 # that the client does not have is dropped.
 PARTIAL_LINE_TIMEOUT_US = SECOND // 2
-# After the last answer, input from the other side is read and discarded for this long: closing a socket with
-# unread input would reset the connection, and the other side could lose the answer.
-LINGER_US = SECOND // 4
 # The number of a client's unanswered lines whose send times are recorded; bounds the memory for a client that
 # sends thousands of lines.
 MAX_TIMED_LINES = 64
@@ -66,18 +59,15 @@
         self._session: FormSession | None = None
         self._form_server: Connection | None = None  # set once the session is established
         self._server_name: str | None = None
-        # The start of an incomplete line of the form server that the client has. Only a predecessor of an
-        # earlier version forwards less than a line.
-        self._forwarded_part = b""
+        self._lines: FormServerLines | None = None  # set with `_form_server`
         self._command_sender: MemoryObjectSendStream[Placement | bytes]
         self._command_receiver: MemoryObjectReceiveStream[Placement | bytes]
         self._command_sender, self._command_receiver = anyio.create_memory_object_stream(8)
         self._current_attempt: tuple[int, anyio.CancelScope] | None = None
         self._wait_scope: anyio.CancelScope | None = None
-        self._load_reporter: LoadReporter | None = None  # set once the session is established
+        self._forwarder: RequestForwarder | None = None  # set with a request of this process
         self._moving_since_us = 0
-        self._answered = self._sent_too_early = False
-        self._may_have_run = False  # a form server may have got the request
+        self._has_node_answer = self._sent_too_early = False
         self._reason = "unknown"
         self._broken = False
         # Only for established sessions: the function that sends the session to a successor; the scope in
@@ -104,31 +94,45 @@
         self._client.restore(transferred.client_input)
         self._form_server = Connection(server)
         self._form_server.restore(transferred.withheld_part)
-        self._forwarded_part = transferred.forwarded_part
-        self._request, self._answered, self._may_have_run = request, True, True
+        self._request = request
         self._server_name = transferred.server_name
         form_server = FormServer(transferred.server_name, ("", 0), BackendState.GONE)
         self._placement = Placement(form_server, transferred.attempt, 0)
         self._session = self._make_session(request, transferred.id, 0)
         self._session.resumed_at = None
         self._session.unanswered_since_us.extend(transferred.unanswered_since_us)
-        self._load_reporter = LoadReporter(
-            self._node, front.loads, self._session, transferred.server_name, transferred.load
+        self._lines = self._make_lines(
+            self._session,
+            self._form_server,
+            transferred.server_name,
+            transferred.load,
+            transferred.forwarded_part,
         )
         return self
 
+    def _make_lines(
+        self,
+        session: FormSession,
+        server: Connection,
+        server_name: str,
+        load: float | None = None,
+        forwarded_part: bytes = b"",
+    ) -> FormServerLines:
+        loads = LoadReporter(self._node, self._front.loads, session, server_name, load)
+        return FormServerLines(self._node, session, self._client, server, loads, forwarded_part)
+
     def _make_transfer(self, server: Connection) -> SessionTransfer:
         assert self._request is not None and self._session is not None and self._placement is not None
-        assert self._load_reporter is not None
+        assert self._lines is not None
         transferred = TransferredSession(
             request=self._request,
             id=self._session.id,
             server_name=self._placement.form_server.name,
             attempt=self._placement.attempt,
             unanswered_since_us=tuple(self._session.unanswered_since_us),
-            load=self._load_reporter.load,
+            load=self._lines.loads.load,
             client_input=self._client.peek(),
-            forwarded_part=self._forwarded_part,
+            forwarded_part=self._lines.forwarded_part,
             withheld_part=server.peek(),
         )
         return SessionTransfer(transferred.to_content(), (self._client.sock, server.sock))
@@ -211,7 +215,7 @@
         finally:
             if self._session is not None:
                 self._release()
-                if not self._answered and not self._client.ended:
+                if not self._is_answered and not self._client.ended:
                     # The listening address was removed while the request was pending; the client still gets
                     # its final answer.
                     with contextlib.suppress(OSError):
@@ -234,6 +238,12 @@
                     why=self._session.denial_reason_text if self._session else None,
                 )
 
+    @property
+    def _is_answered(self) -> bool:
+        """Whether the client was sent its final answer."""
+        is_forwarded = self._forwarder is not None and self._forwarder.is_answered
+        return self._has_node_answer or is_forwarded or self._form_server is not None
+
     def _release(self) -> None:
         """Releases the id and notifies the node that the client has left."""
         if self._id is not None and self._session is not None:
@@ -242,9 +252,11 @@
             self._node.client_left(self._session)
 
     def _id_blocked_until_us(self, session: FormSession) -> int:
-        if not self._may_have_run or self._reason == "handed-over":
+        was_established = self._form_server is not None
+        may_have_run = was_established or (self._forwarder is not None and self._forwarder.may_have_run)
+        if not may_have_run or self._reason == "handed-over":
             return 0
-        return self._front.blocks_id_until_us(session, self._form_server is not None)
+        return self._front.blocks_id_until_us(session, was_established)
 
     async def _receive_request(self, deadline_us: int) -> bool:
         """Reads the first line and requests a form session from the node; returns False if there is no valid
@@ -271,6 +283,9 @@
         self._id = request.id
         # The session id is unique in this process even if a client uses its id again.
         self._session = self._make_session(request, f"{request.id}.{now_us}", now_us + request.wait_ms * 1000)
+        self._forwarder = RequestForwarder(
+            self._node, self._front.waiting, self._client, self._session, request
+        )
         self._reason = "unknown"
         self._node.request_session(self._session)
         return True
@@ -321,28 +336,9 @@
         await self._close_gracefully(answer)
 
     async def _close_gracefully(self, last_line: bytes = b"") -> None:
-        """Closes both connections gracefully: ends sending, then reads until the other side has ended too,
-        for at most `LINGER_US`.
-        """
-        scope = anyio.CancelScope(
-            deadline=self._node.clock.to_deadline(self._node.clock.now_us() + LINGER_US)
-        )
-        self._front.waiting.add_closing(scope)  # it still uses file descriptors, and must not keep others out
-        try:
-            with scope:
-                async with anyio.create_task_group() as group:
-                    if self._form_server is not None and not self._form_server.closed:
-                        group.start_soon(self._finish_and_close, self._form_server)
-                    if not self._broken:
-                        await self._finish_and_close(self._client, last_line)
-        finally:
-            self._front.waiting.remove(scope)
-
-    async def _finish_and_close(self, connection: Connection, last_line: bytes = b"") -> None:
-        with contextlib.suppress(OSError):  # the other side did not wait for the answer
-            await connection.write(last_line)
-            await connection.finish_sending()
-        connection.close()
+        client = None if self._broken else self._client
+        waiting = self._front.waiting
+        await close_gracefully(self._node.clock, waiting, client, self._form_server, last_line)
 
     async def _read_client(self) -> None:
         """Forwards input from the client, and detects that the client leaves."""
@@ -351,7 +347,7 @@
             while await self._receive_input():
                 if self._form_server is not None:
                     await self._forward_to_form_server()
-                elif not self._answered:
+                elif not self._is_answered:
                     # A client has to wait for its answer. Forwarding or buffering this input for a form
                     # server would be a second command on one connection.
                     self._sent_too_early = True
@@ -397,13 +393,11 @@
     async def _run_commands(self) -> None:
         async for command in self._command_receiver:
             if isinstance(command, bytes):
-                self._answered = True
+                self._has_node_answer = True
                 await self._client.write(command)
                 return
             await self._run_attempt(command)
-            if (
-                self._answered
-            ):  # the session has ended, or the form server answered that it served the request
+            if self._is_answered:
                 return
 
     async def _run_attempt(self, placement: Placement) -> None:
@@ -419,7 +413,7 @@
             self._node.attempt_ended(self._session, placement, outcome)
 
     async def _attempt_session(self, placement: Placement) -> AttemptOutcome:
-        assert self._session is not None
+        assert self._session is not None and self._forwarder is not None
         self._server_name = placement.form_server.name
         server: Connection | None = None
         outcome = AttemptOutcome.TIMED_OUT
@@ -427,9 +421,13 @@
         with anyio.CancelScope(deadline=self._node.clock.to_deadline(placement.until_us)) as scope:
             self._current_attempt = (placement.attempt, scope)
             try:
-                server, outcome = await self._set_up(placement, sent_us)
+                server, outcome = await self._forwarder.attempt(placement, sent_us)
             finally:
                 self._current_attempt = None
+        if self._forwarder.client_broke:
+            self._reason, self._broken = "household-broke", True
+        elif self._forwarder.is_answered:
+            self._reason = "served"
         if self._client.ended or (scope.cancelled_caught and self._node.clock.now_us() < placement.until_us):
             outcome = AttemptOutcome.CANCELLED
             if server is not None:
@@ -438,9 +436,7 @@
         if server is not None:
             latency_us = self._node.clock.now_us() - sent_us
             self._form_server, self._placement = server, placement
-            self._load_reporter = LoadReporter(
-                self._node, self._front.loads, self._session, placement.form_server.name, None
-            )
+            self._lines = self._make_lines(self._session, server, placement.form_server.name)
             self._reason = "unknown"
             self._node.connection_opened(self._session, placement, latency_us)
             outcome = await self._run_session_to_end(server)
@@ -451,8 +447,8 @@
         assert self._session is not None and self._form_server is not None
         self._node.adopt_session(self._session, placement)
         log("adopted", id=self._request.id if self._request else None, server=self._server_name)
-        if self._load_reporter is not None:
-            self._load_reporter.report_again()
+        if self._lines is not None:
+            self._lines.loads.report_again()
         outcome = AttemptOutcome.CANCELLED
         try:
             outcome = await self._run_session_to_end(self._form_server)
@@ -499,88 +495,17 @@
         self._client_reader_stopped = anyio.Event()
         self._group.start_soon(self._read_client)
 
-    async def _set_up(self, placement: Placement, sent_us: int) -> tuple[Connection | None, AttemptOutcome]:
-        """Opens a connection to the form server and requests the session. Unless the form server answers UP,
-        the connection is closed on return.
-        """
-        connect_by_us = min(placement.until_us, sent_us + self._node.settings.connect_timeout_us)
-        server: Connection | None = None
-        try:
-            with anyio.CancelScope(deadline=self._node.clock.to_deadline(connect_by_us)):
-                server = await connect(placement.form_server.address)
-            if server is None:
-                return None, AttemptOutcome.CONNECT_FAILED
-            outcome = self._find_obstacle(placement) or await self._request_session(server, placement)
-            established, server = (server, None) if outcome is None else (None, server)
-            return established, outcome or AttemptOutcome.OK
-        except OutOfDescriptorsError:
-            log("out-of-descriptors", doing="connect")
-            self._front.waiting.evict_oldest()
-            return None, AttemptOutcome.NOT_SENT
-        except OverlongLineError:
-            return None, AttemptOutcome.ERROR
-        except OSError:
-            return None, AttemptOutcome.CONNECT_FAILED
-        finally:
-            if server is not None:
-                server.close()
-
-    def _find_obstacle(self, placement: Placement) -> AttemptOutcome | None:
-        """Returns the outcome of an attempt that must not be made any more; None for any other."""
-        assert self._session is not None
-        if self._client.is_readable():  # it has left, and nobody awaits the answer
-            return AttemptOutcome.CANCELLED
-        if not self._node.may_begin(self._session, placement):
-            return AttemptOutcome.NOT_SENT
-        return None
-
-    async def _request_session(self, server: Connection, placement: Placement) -> AttemptOutcome | None:
-        """Forwards the request and its answer; returns None if the session is established, and else the
-        attempt's outcome. Raises OSError if the connection breaks before the request is written.
-        """
-        assert self._request is not None
-        wait_ms = max(1, (placement.until_us - self._node.clock.now_us()) // 1000)
-        await server.write(self._request.for_form_server(wait_ms))
-        may_have_run_before, self._may_have_run = self._may_have_run, True
-        self._node.request_written()
-        try:
-            line = await server.line()
-        except OSError:
-            line = None
-        if line is None:
-            server.close()
-            return AttemptOutcome.RESET
-        outcome = ANSWER_OUTCOMES.get(first_word(line), AttemptOutcome.ERROR)
-        if outcome is AttemptOutcome.REJECTED:
-            self._may_have_run = may_have_run_before
-        is_up = first_word(line) == b"UP"
-        if not is_up and outcome is not AttemptOutcome.OK:
-            return outcome
-        return await self._forward_answer(line) or (None if is_up else outcome)
-
-    async def _forward_answer(self, line: bytes) -> AttemptOutcome | None:
-        """Forwards the form server's answer to the client; returns an outcome if the client is gone."""
-        self._answered = True
-        try:
-            await self._client.write(line)
-        except OSError:
-            # The client's connection broke; this must not count as a fault of the form server.
-            self._reason, self._broken = "household-broke", True
-            return AttemptOutcome.CANCELLED
-        self._reason = "served"
-        return None
-
     async def _run_session(self, server: Connection) -> AttemptOutcome:
         """Forwards input from the client at once, and complete lines from the form server, until the session
         ends; returns how it ended.
         """
-        assert self._session is not None
+        assert self._session is not None and self._lines is not None
         if self._client.buffered():
             await self._forward_to_form_server()
-        ending = await self._forward_to_client(server, AttemptOutcome.RESET)
+        await self._lines.forward()
         while True:
-            if self._moving_since_us and self._may_move_now(server):
-                await self._move_client()
+            if self._moving_since_us and self._may_move_now(self._lines):
+                self._reason = "moved" if await self._lines.send_move() else "ended-within-line"
                 return AttemptOutcome.CANCELLED
             if self._client.ended:
                 return AttemptOutcome.CANCELLED
@@ -591,31 +516,22 @@
                 has_input = await self._wait_for_form_server(server)
             except OSError:
                 self._reason, self._broken = "form-server-broke", True
-                return ending
+                return self._lines.ending
             except OverlongLineError:
                 self._reason, self._broken = "form-server-line-too-long", True
                 return AttemptOutcome.ERROR
             if has_input:
                 self._node.bytes_received(self._session)
-                ending = await self._forward_to_client(server, ending)
+                await self._lines.forward()
             elif has_input is not None:
-                await self._client.write(server.take())  # the form server ended within a line
-                self._reason = _END_REASONS.get(ending, "form-server-ended")
-                return ending
+                await self._lines.forward_rest()
+                self._reason = _END_REASONS.get(self._lines.ending, "form-server-ended")
+                return self._lines.ending
 
-    def _may_move_now(self, server: Connection) -> bool:
+    def _may_move_now(self, lines: FormServerLines) -> bool:
         """Whether the form server is between two lines, or has had enough time to complete one."""
-        if not server.buffered() and not self._forwarded_part:
-            return True
-        return self._node.clock.now_us() >= self._moving_since_us + PARTIAL_LINE_TIMEOUT_US
-
-    async def _move_client(self) -> None:
-        """Sends `MOVE`. A client that has half a line gets nothing more: its connection just ends."""
-        if self._forwarded_part:
-            self._reason = "ended-within-line"
-            return
-        self._reason = "moved"
-        await self._client.write(b"MOVE\r\n")
+        has_waited = self._node.clock.now_us() >= self._moving_since_us + PARTIAL_LINE_TIMEOUT_US
+        return lines.is_between_lines or has_waited
 
     async def _wait_for_form_server(self, server: Connection) -> bool | None:
         """Waits for input from the form server; returns False once it has ended its sending, and None if the
@@ -633,23 +549,6 @@
             self._wait_scope = None
         return None
 
-    async def _forward_to_client(self, server: Connection, ending: AttemptOutcome) -> AttemptOutcome:
-        """Forwards and evaluates the complete lines. The start of an incomplete one stays in the buffer: once
-        the client had a part of it, `MOVE` could not follow before its end.
-        """
-        assert self._session is not None and self._load_reporter is not None
-        lines = server.take_lines()
-        if not lines:
-            return ending
-        await self._client.write(lines)
-        lines, self._forwarded_part = self._forwarded_part + lines, b""
-        for line in lines.split(b"\n")[:-1]:
-            ending = END_OUTCOMES.get(first_word(line), AttemptOutcome.RESET)
-            is_load = self._load_reporter.handle_line(line)
-            if not is_load and ending is AttemptOutcome.RESET:
-                self._node.line_answered(self._session)
-        return ending
-
 
 class ClientFront(FrontState):
     """The front of the text protocol."""
--- a/tests/test_partial_lines.py
+++ b/tests/test_partial_lines.py
@@ -22,6 +22,7 @@
 from sailrun.node.core import Node
 from sailrun.node.request_ids import RequestIds
 from sailrun.text_protocol import clients as clients_module
+from sailrun.text_protocol import graceful_close
 from sailrun.text_protocol.clients import ClientConnection, ClientFront
 from sailrun.text_protocol.lines import parse_open_request
 from sailrun.text_protocol.load_reports import FormServerLoads
@@ -188,7 +189,7 @@
 @pytest.fixture
 def short_partial_line_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(clients_module, "PARTIAL_LINE_TIMEOUT_US", 5_000)
-    monkeypatch.setattr(clients_module, "LINGER_US", 5_000)
+    monkeypatch.setattr(graceful_close, "LINGER_US", 5_000)
 
 
 @settings(deadline=None, max_examples=60)
